pagate: a request read after the listener closed is answered

Ruled out: the grace (6 s; the end came at 3.3 s), a target (none was asked), a refusal (would be logged).

Change: the listener is closed, and connections end by themselves after their answers; idle ones are closed only if nothing has arrived on them.

--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -109,7 +110,7 @@
 	g.spawn(func() { g.closed(others[1].Serve(listeners[2])) })
 	select {
 	case <-soft.Done():
-		g.shutDown(hard, front)
+		g.shutDown(hard, listeners[0])
 	case <-hard.Done():
 	}
 	g.end()
@@ -141,7 +142,7 @@
 }
 
 func (g *Gate) closed(err error) {
-	if err != nil && err != http.ErrServerClosed {
+	if err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
 		g.record(paevent.ListenerFailed{Reason: err.Error()})
 	}
 }
--- a/pagate/pool.go
+++ b/pagate/pool.go
@@ -146,11 +146,12 @@
 //
 // It guards against bytes after a whole answer, which belong to no request: on a connection that is
 // used again they would pass for the next answer.
-func (c *conn) quiet() bool {
-	if c.reader.Buffered() > 0 {
-		return false
-	}
-	s, ok := c.Conn.(syscall.Conn)
+func (c *conn) quiet() bool { return c.reader.Buffered() == 0 && nothingArrived(c.Conn) }
+
+// nothingArrived says that neither bytes nor the end of the connection wait to be read. It may be called
+// beside a read that waits.
+func nothingArrived(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
 	if !ok {
 		return true
 	}
@@ -158,12 +159,11 @@
 	if err != nil {
 		return false
 	}
-	quiet := false
+	nothing := false
 	var b [1]byte
-	err = raw.Read(func(fd uintptr) bool {
+	err = raw.Control(func(fd uintptr) {
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-		return true
+		nothing = err == syscall.EAGAIN
 	})
-	return err == nil && quiet
+	return err == nil && nothing
 }
--- a/pagate/stop.go
+++ b/pagate/stop.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
-	"sync"
 	"time"
 
 	"papayahead/paevent"
@@ -42,7 +40,7 @@
 }
 
 // shutDown ends the process after all that callers may still send has its answer.
-func (g *Gate) shutDown(hard context.Context, front *http.Server) {
+func (g *Gate) shutDown(hard context.Context, listener net.Listener) {
 	g.leftAt.Store(g.config.Clock.Now().UnixNano())
 	g.leaving.Store(true)
 	g.announceAgain()
@@ -53,53 +51,30 @@
 	defer cancel()
 	giveUp := g.config.Clock.AfterFunc(g.config.Settings.Grace-graceMargin-answerMargin-g.config.Clock.Since(begun), g.end)
 	defer giveUp.Stop()
+	if err := listener.Close(); err != nil {
+		g.record(paevent.ListenerFailed{Reason: err.Error()})
+	}
 	cut := 0
-	if err := front.Shutdown(ctx); err != nil {
+	if !g.drain(ctx) {
 		cut = int(g.inFlight.Load())
 	}
 	g.record(paevent.Stopped{CutOff: cut, DrainMilliseconds: g.config.Clock.Since(begun).Milliseconds()})
 }
 
-// callerConns is the connections of callers that are idle.
-type callerConns struct {
-	mutex sync.Mutex
-	idle  map[net.Conn]time.Time
-	clock func() time.Time
-}
-
-// observe follows the state of a caller's connection.
-func (c *callerConns) observe(n net.Conn, s http.ConnState) {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.idle == nil {
-		c.idle = map[net.Conn]time.Time{}
-	}
-	if s == http.StateIdle {
-		c.idle[n] = c.clock()
-		return
-	}
-	delete(c.idle, n)
-}
+// drainPace is the time between two looks at the connections that are still open: a fraction of the time
+// that callers need to go elsewhere.
+const drainPace = 20 * time.Millisecond
 
-// reap closes connections that were idle beyond the limit.
-func (c *callerConns) reap(now time.Time, limit time.Duration) {
-	if limit <= 0 {
-		return
-	}
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	for n, at := range c.idle {
-		if now.Sub(at) > limit {
-			n.Close()
-			delete(c.idle, n)
+// drain waits until callers' connections have ended and says whether all have.
+//
+// It stands in for the Shutdown of net/http, which closes a connection whose request it reads after the
+// shutdown began. Failure prevented: the process stands still for a moment while a request arrives, the
+// request is read right after, and its caller loses the connection without an answer.
+func (g *Gate) drain(ctx context.Context) bool {
+	for g.callers.drain(g.config.Clock.Now()) > 0 {
+		if !g.sleep(ctx, drainPace) {
+			return false
 		}
 	}
-}
-
-// idleLimit returns how long callers may stay idle.
-func (g *Gate) idleLimit() time.Duration {
-	if s := g.state.Load(); s.table != nil {
-		return s.table.Config.Limits.IdleTimeout
-	}
-	return 0
+	return true
 }
