pasteer: cold runs are learnt as cold

Cause: an object counts as warm at a target from the start of its first run, and the end of that run then counted as a warm one. The time of cold runs was never learnt, and that of warm ones was a mix of both, so that waits at warm targets looked longer than they are.

Change: a report carries what its choice knew.

--- a/pasteer/choose.go
+++ b/pasteer/choose.go
@@ -38,8 +38,10 @@
 	// Warm says that the object was handled there lately; Load is the estimated load over slots.
 	Warm bool
 	Load float64
-	// wait and finish are the estimated times to the start and to the end of the work.
-	wait, finish time.Duration
+	// Wait is the estimated time to the start of the work.
+	Wait time.Duration
+	// finish is the estimated time to the end of the work.
+	finish time.Duration
 }
 
 // Reason says why a request is refused.
--- a/pasteer/load_test.go
+++ b/pasteer/load_test.go
@@ -38,6 +38,7 @@
 	steer   *Steer
 	target  string
 	object  string
+	choice  Choice
 	arrived time.Time
 	started time.Time
 }
@@ -106,7 +107,7 @@
 		return
 	}
 	s.Start(c, request(object, now), now)
-	j := job{steer: s, target: c.Target, object: object, arrived: now}
+	j := job{steer: s, target: c.Target, object: object, choice: c, arrived: now}
 	m := r.model[c.Target]
 	if len(m.waiting) >= 9 {
 		s.Finish(Report{Target: c.Target, Route: "r", Object: object, Outcome: Shed, Told: true, Running: 3, Waiting: 9}, now)
@@ -160,6 +161,7 @@
 	m.running--
 	j.steer.Finish(Report{
 		Target: j.target, Route: "r", Object: j.object, Outcome: Answered, Took: now.Sub(j.started),
+		Warm: j.choice.Warm, Wait: j.choice.Wait,
 		Told: true, Running: m.running + 1, Waiting: len(m.waiting),
 	}, now)
 	if now.Sub(j.arrived) <= route.TargetLatency {
--- a/pasteer/outcome.go
+++ b/pasteer/outcome.go
@@ -50,6 +50,9 @@
 	Object  string
 	Outcome Outcome
 	Took    time.Duration
+	// Warm and Wait are those of the Choice.
+	Warm bool
+	Wait time.Duration
 	// Running and Waiting are what the target told of its load; Told says that it did.
 	Told             bool
 	Running, Waiting int
@@ -81,7 +84,7 @@
 	t.inFlight++
 	t.used, s.used[t.member.Service] = true, true
 	if t.silentAt.IsZero() {
-		t.silentAt = now.Add(max(silentLeast, c.wait+silentRuns*s.expected(q, false)))
+		t.silentAt = now.Add(max(silentLeast, c.Wait+silentRuns*s.expected(q, false)))
 	} else if t.silent(now) {
 		t.tryAt = now.Add(silentPause)
 	}
@@ -140,7 +143,7 @@
 	t.noteLoad(now)
 	switch r.Outcome {
 	case Answered:
-		s.workOf(r.Route).add(t.warm.has(r.Object, now), r.Took)
+		s.workOf(r.Route).add(r.Warm, r.Took)
 		t.failures, t.errors = 0, t.errors*(1-errorWeight)
 		if t.warm.add(r.Object, now) {
 			s.note(WarmNote{Target: r.Target, Object: r.Object})
--- a/pasteer/pick.go
+++ b/pasteer/pick.go
@@ -55,12 +55,12 @@
 			least = e.cost
 			best = Choice{
 				Target: c.target.member.ID, Address: c.target.member.Address, Born: c.target.member.Born,
-				Warm: warm, Load: e.load, wait: e.wait, finish: e.finish,
+				Warm: warm, Load: e.load, Wait: e.wait, finish: e.finish,
 			}
 		}
 	}
 	if s.tooLate(best, q, now) {
-		return Choice{Reason: ReasonFull, ComeBack: comeBackFull + best.wait/2, Load: best.Load}
+		return Choice{Reason: ReasonFull, ComeBack: comeBackFull + best.Wait/2, Load: best.Load}
 	}
 	return best
 }
--- a/pasteer/steer_test.go
+++ b/pasteer/steer_test.go
@@ -342,3 +342,19 @@
 	}
 	t.Error("the new target got nothing in 3 s")
 }
+
+// The first run of an object takes three times as long as the next ones. Taken for a warm run, it makes all
+// waits look three times as long, and requests that could be answered in time are refused or run cold elsewhere.
+func TestAFirstRunIsNotLearntAsAWarmOne(t *testing.T) {
+	s := newSteer("a1", fleet(2))
+	q, now := request("x", begin), begin
+	for _, took := range []time.Duration{900 * time.Millisecond, 270 * time.Millisecond} {
+		c := s.Choose(q, now)
+		s.Start(c, q, now)
+		now = now.Add(took)
+		s.Finish(Report{Target: c.Target, Route: "r", Object: "x", Outcome: Answered, Took: took, Warm: c.Warm, Wait: c.Wait}, now)
+	}
+	if cold, warm := s.expected(q, false), s.expected(q, true); cold != 900*time.Millisecond || warm != 270*time.Millisecond {
+		t.Errorf("a cold run is expected to take %s and a warm one %s", cold, warm)
+	}
+}
