pasteer: few entry VMs feed a cold target, each in its turn

Change: a zone without entry VMs has three feeders, agreed on by hash; a target that turns cold gets its first requests in turn; for 2 s after its start an entry VM counts as many in its zone as the largest other zone has.

--- a/pasteer/choose.go
+++ b/pasteer/choose.go
@@ -115,7 +115,7 @@
 			continue
 		}
 		c := candidate{t, rendezvous(q.Object, t.member.ID), t.reachable(now)}
-		if c.usable && t.isCold(now) && (now.Before(t.cold.full) || s.coldRate(t) == 0) {
+		if c.usable && t.isCold(now) && (now.Before(t.cold.full) || s.coldRate(t, now) == 0) {
 			c.usable, cold = false, true
 		}
 		if c.usable {
--- a/pasteer/outcome.go
+++ b/pasteer/outcome.go
@@ -91,7 +91,7 @@
 	t.noteLoad(now)
 	s.notePlace(c, q, now)
 	if t.isCold(now) {
-		t.cold.take(now, s.coldRate(t))
+		t.cold.take(now, s.coldRate(t, now))
 	}
 	if t.warm.add(object, now) {
 		s.note(WarmNote{Target: c.Target, Object: object})
--- a/pasteer/steer.go
+++ b/pasteer/steer.go
@@ -39,10 +39,12 @@
 	// notes holds the last warmNotes notes of noted.
 	notes []WarmNote
 	noted uint64
-	// entries is how many entry VMs share the retry budget; feeders how many of them may send to
-	// cold targets of a zone.
-	entries int
-	feeders map[string]int
+	// startedAt is when the first view came.
+	startedAt time.Time
+	// entries is how many entry VMs share the retry budget, mostPerZone the most in one availability zone.
+	entries, mostPerZone int
+	// feeders has the zones whose cold targets this entry VM sends to.
+	feeders map[string]feeder
 }
 
 // service is the targets of one service, in the order of their IDs.
@@ -90,7 +92,7 @@
 func New(c Config) *Steer {
 	return &Steer{
 		Config: c, targets: map[string]*target{}, services: map[string]*service{},
-		splits: map[string]*paroute.Splitter{}, work: map[string]*workTime{}, used: map[string]bool{}, entries: 1, feeders: map[string]int{},
+		splits: map[string]*paroute.Splitter{}, work: map[string]*workTime{}, used: map[string]bool{}, entries: 1, feeders: map[string]feeder{},
 	}
 }
 
@@ -99,6 +101,11 @@
 	if v.Config == nil {
 		return
 	}
+	if s.startedAt.IsZero() {
+		s.startedAt = now
+	}
+	s.feed(v)
+	s.entries = max(1, len(v.Entries))
 	old := s.services
 	s.services = make(map[string]*service, len(v.Config.Services))
 	for name, c := range v.Config.Services {
@@ -118,7 +125,6 @@
 	for _, g := range s.services {
 		sortTargets(g.targets)
 	}
-	s.updateEntries(v)
 }
 
 func (s *Steer) updateTarget(id string, m *pafleet.Member, v *pafleet.View, now time.Time) {
@@ -130,6 +136,7 @@
 			t.joinedAt = now
 		}
 	}
+	wasCold := t.isCold(now)
 	t.member = *m
 	t.region = s.Config.Regions[m.Zone]
 	t.near = s.distance(m.Zone, t.region)
@@ -142,6 +149,9 @@
 	}
 	if g := s.services[m.Service]; g != nil {
 		g.targets = append(g.targets, t)
+		if !wasCold && t.isCold(now) {
+			s.beginCold(t, now)
+		}
 	}
 }
 
@@ -149,26 +159,6 @@
 // 1.5 s and a reading of the store of 1 s.
 const evacuationCold = 2500 * time.Millisecond
 
-func (s *Steer) updateEntries(v *pafleet.View) {
-	s.entries = max(1, len(v.Entries))
-	zones, regions := map[string]int{}, map[string]int{}
-	for _, e := range v.Entries {
-		zones[e.Zone]++
-		regions[e.Region]++
-	}
-	s.feeders = map[string]int{}
-	for zone, region := range s.Config.Regions {
-		switch {
-		case zones[zone] > 0 && zone == s.Config.Zone:
-			s.feeders[zone] = zones[zone]
-		case zones[zone] == 0 && region == s.Config.Region:
-			s.feeders[zone] = max(1, regions[region])
-		case regions[region] == 0:
-			s.feeders[zone] = s.entries
-		}
-	}
-}
-
 func (s *Steer) distance(zone, region string) int {
 	switch {
 	case zone == s.Config.Zone:
--- a/pasteer/steer_test.go
+++ b/pasteer/steer_test.go
@@ -358,3 +358,55 @@
 		t.Errorf("a cold run is expected to take %s and a warm one %s", cold, warm)
 	}
 }
+
+// A region comes back from a loss of power with its entry VMs and its targets, which are cold. Its entry VMs
+// know of those elsewhere and not yet of each other; those elsewhere do not know that they are back. All of
+// them together sent a cold target several times what it bears, and it crashed.
+func TestARegionThatComesBackColdGetsNoMoreThanItBears(t *testing.T) {
+	v := fleet(1)
+	for _, m := range v.Targets {
+		if m.Zone[0] == 'c' {
+			m.ColdUntil = begin.Add(time.Minute)
+		}
+	}
+	r := pafleet.Revision(1000)
+	for zone, region := range regions {
+		for i := range 4 {
+			name := fmt.Sprintf("entry-%s-%d", zone, i)
+			if region != "c" {
+				v.Apply(pafleet.EntrySaid{Entry: pafleet.Entry{Name: name, Zone: zone, Region: region, Revision: r}}, begin)
+			}
+			v.Apply(pafleet.EntryGone{Name: "entry-" + zone, Revision: r}, begin)
+			r++
+		}
+	}
+	var all []*Steer
+	for zone, region := range regions {
+		for i := range 4 {
+			s := New(Config{Name: fmt.Sprintf("entry-%s-%d", zone, i), Zone: zone, Region: region, Regions: regions})
+			if region != "c" {
+				s.Update(v, begin.Add(-time.Minute))
+			}
+			s.Update(v, begin)
+			all = append(all, s)
+		}
+	}
+	sent := map[string]int{}
+	for tick := range 100 {
+		now := begin.Add(time.Duration(tick) * 10 * time.Millisecond)
+		for i, s := range all {
+			c := s.Choose(request(fmt.Sprint(tick*31+i), now), now)
+			s.Start(c, request("", now), now)
+			s.Finish(Report{Target: c.Target, Route: "r", Outcome: Answered, Took: time.Millisecond}, now)
+			sent[c.Target]++
+		}
+	}
+	for _, id := range []string{"c1-0", "c2-0"} {
+		if sent[id] > 8 {
+			t.Errorf("the cold target %s got %d requests in a second, and bears 8", id, sent[id])
+		}
+		if sent[id] == 0 {
+			t.Errorf("the cold target %s got nothing", id)
+		}
+	}
+}
