pagate: requests that shift or are held in their region show in logs and metrics

An on-call engineer who asks why a request waited in a full region had no sign of the bound on shifts.

--- a/paevent/gate.go
+++ b/paevent/gate.go
@@ -153,6 +153,8 @@
 	// handled the object lately.
 	Load float64
 	Warm bool
+	// Held says that the request was kept in its region, since enough others had just left it.
+	Held bool `json:",omitempty"`
 	// KnownMilliseconds is the age of what was known of the deployment.
 	KnownMilliseconds int64
 }
--- a/pagate/answer.go
+++ b/pagate/answer.go
@@ -126,7 +126,7 @@
 	g.record(paevent.RequestEnded{
 		Subject: paevent.Subject{Request: x.id, Service: x.service}, Route: name, Status: status, Reason: reason,
 		Target: x.last.Target, Object: x.object, Tried: len(x.tried), Version: x.version, Microseconds: took.Microseconds(),
-		Load: x.last.Load, Warm: x.last.Warm,
+		Load: x.last.Load, Warm: x.last.Warm, Held: x.last.Held,
 		KnownMilliseconds: g.config.Clock.Since(g.state.Load().readAt).Milliseconds(),
 	})
 }
--- a/pagate/meter.go
+++ b/pagate/meter.go
@@ -22,6 +22,8 @@
 	connections *metrics.Counter
 	strays      *metrics.Counter
 	peerCloses  *metrics.Counter
+	shifted     *metrics.Counter
+	held        *metrics.Counter
 	served      atomic.Uint64
 }
 
@@ -30,6 +32,8 @@
 	m.connections = m.set.NewCounter("papayahead_gate_target_connections_total")
 	m.strays = m.set.NewCounter("papayahead_gate_stray_answers_total")
 	m.peerCloses = m.set.NewCounter("papayahead_gate_peer_close_errors_total")
+	m.shifted = m.set.NewCounter("papayahead_gate_shifted_requests_total")
+	m.held = m.set.NewCounter("papayahead_gate_held_requests_total")
 	m.set.NewGauge("papayahead_gate_requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	m.set.NewGauge("papayahead_gate_configuration_version", func() float64 { return float64(g.state.Load().configVersion()) })
 	m.set.NewGauge("papayahead_gate_store_age_seconds", func() float64 { return g.config.Clock.Since(g.state.Load().readAt).Seconds() })
@@ -41,6 +45,16 @@
 	m.set.GetOrCreateCounter(`papayahead_gate_store_calls_total{call="` + name + `"}`).Inc()
 }
 
+// choice counts what a decision means for the traffic between regions.
+func (m *meter) choice(c pasteer.Choice) {
+	if c.Shifts {
+		m.shifted.Inc()
+	}
+	if c.Held {
+		m.held.Inc()
+	}
+}
+
 func (m *meter) attempt(_ string, o pasteer.Outcome) {
 	m.set.GetOrCreateCounter(`papayahead_gate_attempts_total{outcome="` + o.String() + `"}`).Inc()
 }
--- a/pagate/send.go
+++ b/pagate/send.go
@@ -225,7 +225,7 @@
 func (a *attempt) report() pasteer.Report {
 	return pasteer.Report{
 		Target: a.choice.Target, Route: a.x.route.Name, Object: a.x.object, Took: a.gate.config.Clock.Since(a.begun),
-		Warm: a.choice.Warm, Wait: a.choice.Wait,
+		Warm: a.choice.Warm,
 	}
 }
 
--- a/pagate/serve.go
+++ b/pagate/serve.go
@@ -74,6 +74,7 @@
 	q := pasteer.Request{Route: x.route, Service: x.service, Object: x.object, Tried: x.tried, Deadline: x.limit}
 	c := g.steer.Choose(q, now)
 	x.last = c
+	g.meter.choice(c)
 	if c.Target != "" {
 		g.steer.Start(c, q, now)
 	}
--- a/pasteer/admit.go
+++ b/pasteer/admit.go
@@ -11,7 +11,7 @@
 	if c.Load >= queueMost {
 		return true
 	}
-	if c.Wait <= 0 {
+	if c.wait <= 0 {
 		return false
 	}
 	t := s.targets[c.Target]
@@ -39,7 +39,7 @@
 		load += t.others
 	}
 	wait := max(0, (load+1-t.slots())/t.slots()) * float64(s.expected(q, true))
-	return c.finish-c.Wait+time.Duration(wait) > q.Route.TargetLatency
+	return c.finish-c.wait+time.Duration(wait) > q.Route.TargetLatency
 }
 
 // standingAfter is how many target latencies a queue may last: cold runs at the start of a day and a
--- a/pasteer/choose.go
+++ b/pasteer/choose.go
@@ -38,12 +38,11 @@
 	// Warm says that the object was handled there lately; Load is the estimated load over slots.
 	Warm bool
 	Load float64
-	// Wait is the estimated time to the start of the work.
-	Wait time.Duration
-	// finish is the estimated time to the end of the work.
-	finish time.Duration
-	// shifts says that the request goes to another region than those before it.
-	shifts bool
+	// wait and finish are the estimated times to the start and to the end of the work.
+	wait, finish time.Duration
+	// Shifts says that the request goes to another region than those before it; Held that it may not, since
+	// enough others just did.
+	Shifts, Held bool
 }
 
 // Reason says why a request is refused.
--- a/pasteer/cold_test.go
+++ b/pasteer/cold_test.go
@@ -75,7 +75,7 @@
 		c := s.Choose(q, now)
 		s.Start(c, q, now)
 		now = now.Add(took)
-		s.Finish(Report{Target: c.Target, Route: "r", Object: "x", Outcome: Answered, Took: took, Warm: c.Warm, Wait: c.Wait}, now)
+		s.Finish(Report{Target: c.Target, Route: "r", Object: "x", Outcome: Answered, Took: took, Warm: c.Warm}, now)
 	}
 	if cold, warm := s.expected(q, false), s.expected(q, true); cold != 900*time.Millisecond || warm != 270*time.Millisecond {
 		t.Errorf("a cold run is expected to take %s and a warm one %s", cold, warm)
--- a/pasteer/load_test.go
+++ b/pasteer/load_test.go
@@ -197,7 +197,7 @@
 	m.running--
 	j.steer.Finish(Report{
 		Target: j.target, Route: "r", Object: j.object, Outcome: Answered, Took: now.Sub(j.started),
-		Warm: j.choice.Warm, Wait: j.choice.Wait,
+		Warm: j.choice.Warm,
 		Told: true, Running: m.running + 1, Waiting: len(m.waiting),
 	}, now)
 	if now.Sub(j.arrived) <= route.TargetLatency {
--- a/pasteer/outcome.go
+++ b/pasteer/outcome.go
@@ -50,9 +50,8 @@
 	Object  string
 	Outcome Outcome
 	Took    time.Duration
-	// Warm and Wait are those of the Choice.
+	// Warm is that of the Choice.
 	Warm bool
-	Wait time.Duration
 	// Running and Waiting are what the target told of its load; Told says that it did.
 	Told             bool
 	Running, Waiting int
@@ -84,7 +83,7 @@
 	t.inFlight++
 	t.used, s.used[t.member.Service] = true, true
 	if t.silentAt.IsZero() {
-		t.silentAt = now.Add(max(silentLeast, c.Wait+silentRuns*s.expected(q, false)))
+		t.silentAt = now.Add(max(silentLeast, c.wait+silentRuns*s.expected(q, false)))
 	} else if t.silent(now) {
 		t.tryAt = now.Add(silentPause)
 	}
--- a/pasteer/pick.go
+++ b/pasteer/pick.go
@@ -68,14 +68,15 @@
 	}
 	usable := usableOf(all)
 	region := s.settled(all, usable, q)
-	fixed := region != "" && !s.mayShift(now)
+	held := region != "" && !s.mayShift(now)
 	for i, c := range usable {
 		shifts := region != "" && c.target.region != region
-		if fixed && shifts {
+		if held && shifts {
 			continue
 		}
 		warm := c.target.warm.has(q.Object, now)
-		if q.bound() && !warm && !mayBeHome(usable, i, q.Route) && !(fixed && best.Target == "") {
+		// Where the request is held in its region, the first target there may run the object cold.
+		if q.bound() && !warm && !mayBeHome(usable, i, q.Route) && !(held && best.Target == "") {
 			continue
 		}
 		e := s.estimate(c.target, q, warm, now)
@@ -83,12 +84,12 @@
 			least = e.cost
 			best = Choice{
 				Target: c.target.member.ID, Address: c.target.member.Address, Born: c.target.member.Born,
-				Warm: warm, Load: e.load, Wait: e.wait, finish: e.finish, shifts: shifts,
+				Warm: warm, Load: e.load, wait: e.wait, finish: e.finish, Shifts: shifts, Held: held,
 			}
 		}
 	}
 	if s.tooLate(best, q, now) {
-		return Choice{Reason: ReasonFull, ComeBack: comeBackFull + best.Wait/2, Load: best.Load}
+		return Choice{Reason: ReasonFull, ComeBack: comeBackFull + best.wait/2, Load: best.Load, Held: held}
 	}
 	return best
 }
--- a/pasteer/shift.go
+++ b/pasteer/shift.go
@@ -87,7 +87,7 @@
 	}
 	i := s.shifts.slot(now, shiftWindow)
 	s.shifts.first[i]++
-	if c.shifts {
+	if c.Shifts {
 		s.shifts.further[i]++
 	}
 	s.places.put(q.placeKey(), c.Target)
