pagate: an entry VM calls eight others of its region; one in fifty reads the store

Each entry VM called all others of its region twice a second: 100 calls at 300 entry VMs, 60,000 a second in all; and all asked the same two readers.

Change: it calls the eight that follow it in the order of hashes, and names just these and itself to callers of a larger region; one in fifty entry VMs reads the store, and each of the others asks one of its region by its own name. Test: TestALargeRegionIsCalledByFewEach.

--- a/pagate/directory.go
+++ b/pagate/directory.go
@@ -60,13 +60,48 @@
 	if len(near) == 0 {
 		near = live
 	}
+	if region == g.self.Region && len(near) > neighboursMost {
+		near = g.watched(near)
+	}
 	var all []netip.AddrPort
-	for _, e := range near {
+	for _, e := range near[:min(len(near), addressesMost)] {
 		all = append(all, e.Front)
 	}
 	return all
 }
 
+// addressesMost is how many addresses callers take of an answer.
+const addressesMost = 64
+
+// watched returns this entry VM, unless it leaves, and the neighbours that it calls: of the others it would learn
+// late that they died.
+func (g *Gate) watched(near []pafleet.Entry) []pafleet.Entry {
+	all := g.neighbours(near)
+	if !g.leaving.Load() {
+		all = append(all, g.self)
+	}
+	return all
+}
+
+// neighboursMost is how many entry VMs of its region an entry VM calls.
+//
+// Load: hundreds of entry VMs in a region, each calling all the others twice a second. Harm prevented: the calls
+// grow with the square of the region, and take the links between zones and the processors from callers.
+const neighboursMost = 8
+
+// neighbours returns those of the own region that follow this entry VM in the order of hashes, so that each
+// is called by as many as it calls.
+func (g *Gate) neighbours(entries []pafleet.Entry) []pafleet.Entry {
+	own := xxhash.Sum64String(g.self.Name)
+	all := slices.DeleteFunc(slices.Clone(entries), func(e pafleet.Entry) bool {
+		return e.Region != g.self.Region || e.Name == g.self.Name
+	})
+	slices.SortFunc(all, func(a, b pafleet.Entry) int {
+		return cmp.Compare(xxhash.Sum64String(a.Name)-own, xxhash.Sum64String(b.Name)-own)
+	})
+	return all[:min(len(all), neighboursMost)]
+}
+
 // live returns the entry VMs that run as far as is known, this one included, in the order of their names.
 func (g *Gate) live(s *state) []pafleet.Entry {
 	all := []pafleet.Entry{g.self}
@@ -90,7 +125,7 @@
 	slices.SortFunc(all, func(a, b pafleet.Entry) int {
 		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
 	})
-	return all[:min(readers, len(all))]
+	return all[:min(max(readers, len(all)/entriesPerReader), len(all))]
 }
 
 // nearestReader returns another reader, one of the own region before others, or else any other entry VM.
@@ -101,17 +136,14 @@
 	if len(all) == 1 && all[0].Name == g.self.Name {
 		all = g.live(s)
 	}
-	var first pafleet.Entry
-	for _, e := range all {
-		if e.Name == g.self.Name {
-			continue
-		}
-		if e.Region == g.self.Region {
-			return e
-		}
-		if first.Name == "" {
-			first = e
-		}
+	all = slices.DeleteFunc(all, func(e pafleet.Entry) bool { return e.Name == g.self.Name })
+	near := slices.DeleteFunc(slices.Clone(all), func(e pafleet.Entry) bool { return e.Region != g.self.Region })
+	if len(near) == 0 {
+		near = all
+	}
+	if len(near) == 0 {
+		return pafleet.Entry{}
 	}
-	return first
+	// Each entry VM takes one by its own name, so that those who ask are spread over those who read.
+	return near[xxhash.Sum64String(g.self.Name)%uint64(len(near))]
 }
--- a/pagate/follow.go
+++ b/pagate/follow.go
@@ -24,8 +24,10 @@
 	watchTime = time.Second
 	// storeTimeout bounds a call; the store answers in 4 ms, and a silent connection shows no error.
 	storeTimeout = watchTime + 500*time.Millisecond
-	// readers is how many entry VMs read the store for all.
-	readers = 2
+	// readers is how many entry VMs read the store for all, at the least, and entriesPerReader how many ask one
+	// of them in a large deployment: twice a second each, about a hundredth of a core.
+	readers          = 2
+	entriesPerReader = 50
 	// leaseLife is how long a registration outlives its entry VM; a look-up must not name a dead one
 	// for more than 7 s.
 	leaseLife = 5 * time.Second
--- /dev/null
+++ b/pagate/neighbour_test.go
@@ -0,0 +1,44 @@
+package pagate
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+
+	"papayahead/pafleet"
+)
+
+// A deployment of 300 entry VMs starts. Each called all others of its region twice a second, 60,000 calls a second
+// in all; the processors were busy with them before the first request came.
+func TestALargeRegionIsCalledByFewEach(t *testing.T) {
+	s := &state{}
+	for i := range 300 {
+		s.entries = append(s.entries, pafleet.Entry{Name: fmt.Sprintf("e%d", i), Region: fmt.Sprintf("r%d", i%3)})
+	}
+	called, asked := map[string]int{}, map[string]int{}
+	for _, e := range s.entries {
+		g := New(Config{Settings: Settings{Name: e.Name, Region: e.Region}, Network: unused{}, Clock: clockwork.NewFakeClock()})
+		g.state.Store(s)
+		for _, n := range g.neighbours(s.entries) {
+			if n.Region != e.Region || n.Name == e.Name {
+				t.Fatalf("%s calls %s of region %s", e.Name, n.Name, n.Region)
+			}
+			called[n.Name]++
+		}
+		asked[g.nearestReader(s).Name]++
+		if named := len(g.addresses(LookUp{Region: e.Region})); named != neighboursMost+1 {
+			t.Fatalf("%s names %d entry VMs of 100 in its region, want those that it watches", e.Name, named)
+		}
+	}
+	for _, e := range s.entries {
+		if called[e.Name] != neighboursMost {
+			t.Errorf("%s is called by %d others, want %d", e.Name, called[e.Name], neighboursMost)
+		}
+	}
+	for name, n := range asked {
+		if n > 100 {
+			t.Errorf("%d of 300 entry VMs ask %s for what is new", n, name)
+		}
+	}
+}
--- a/pagate/peers.go
+++ b/pagate/peers.go
@@ -75,16 +75,14 @@
 	}
 }
 
-// targets returns whom to call: the own region, one of those that read the store for all, and the seeds
+// targets returns whom to call: neighbours of the own region, one of those that read the store for all, and the seeds
 // as long as nothing is known.
 func (p *peers) targets() []pafleet.Entry {
 	g := p.gate
 	s := g.state.Load()
 	all := map[netip.AddrPort]pafleet.Entry{}
-	for _, e := range s.entries {
-		if e.Region == g.self.Region {
-			all[e.Peers] = e
-		}
+	for _, e := range g.neighbours(s.entries) {
+		all[e.Peers] = e
 	}
 	if r := g.nearestReader(s); r.Name != "" {
 		all[r.Peers] = r
