pagate: a shutdown waits longer for the head of a request

Cause: go test ./platform failed in one of four runs beside load: a connection was closed 0.5 s after it opened though half of a request's head had come.

--- a/pagate/callers.go
+++ b/pagate/callers.go
@@ -49,9 +49,9 @@
 	}
 }
 
-// newMost is how long a connection may be open during a shutdown without a byte of a request; callers send
-// right after they connect.
-const newMost = 500 * time.Millisecond
+// newMost is how long a connection may be open during a shutdown without a whole head of a request. Callers send
+// right after they connect; a packet that is lost comes again within a second.
+const newMost = 1500 * time.Millisecond
 
 // drain closes the connections on which no request runs or has arrived, and returns how many are left.
 func (c *callerConns) drain(now time.Time) int {
