--- a/pasteer/shift.go
+++ b/pasteer/shift.go
@@ -8,31 +8,32 @@
 	// shiftShare is the part of that bound which is spent on requests that go elsewhere than before: the
 	// requests that follow for the same objects change their region with them.
 	shiftShare = 0.5
-	// placesMost is how many objects' regions are remembered, twice over: those of a few minutes.
+	// placesMost is how many objects' targets are remembered, twice over: those of a few minutes.
 	placesMost = 4096
 )
 
-// places remembers the target that handled each object last. The zero value is ready.
+// places remembers the target that handled each object last, by the object's hash: callers choose how long their
+// names are. The zero value is ready.
 type places struct {
-	recent, older map[string]string
+	recent, older map[uint64]string
 }
 
-func (p *places) get(object string) string {
+func (p *places) get(object uint64) string {
 	if t, ok := p.recent[object]; ok {
 		return t
 	}
 	return p.older[object]
 }
 
-func (p *places) put(object, target string) {
+func (p *places) put(object uint64, target string) {
 	if p.recent == nil || len(p.recent) >= placesMost {
-		p.older, p.recent = p.recent, map[string]string{}
+		p.older, p.recent = p.recent, map[uint64]string{}
 	}
 	p.recent[object] = target
 }
 
-// placeKey names an object within a service.
-func (q Request) placeKey() string { return q.Service + "\x00" + q.Object }
+// placeKey is the hash of an object within a service.
+func (q Request) placeKey() uint64 { return rendezvous(q.Object, q.Service) }
 
 // settled returns the region that the request goes to if nothing shifts: that of the target of the object's
 // last request, or of its home. It is empty where the object has to move: its target drains, its availability
