--- a/paentry/limits.go
+++ b/paentry/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -9,6 +10,7 @@
 	"papayahead/pabundle"
 	"papayahead/pacontrol"
 	"papayahead/pacredit"
+	"papayahead/paevent"
 	"papayahead/paledger"
 	"papayahead/paview"
 	"papayahead/pawire"
@@ -18,18 +20,36 @@
 
 func (p *peers) askCredit(ctx context.Context, a pacontrol.AskCredit) {
 	p.call(ctx, controlTimeout, nothing, func(ctx context.Context) {
-		w, err := pawire.NewDRPCCreditsClient(p.conn(ctx, a.Address)).Ask(ctx, a.Ask.Wire())
-		if err != nil {
-			return
+		g, err := p.askGrant(ctx, a)
+		p.noteAsk(a.Address, err)
+		if err == nil {
+			p.daemon.post(pacontrol.CreditGranted{Grant: g})
 		}
-		g, err := pacredit.GrantFromWire(w)
-		if err != nil {
-			return
-		}
-		p.daemon.post(pacontrol.CreditGranted{Grant: g})
 	})
 }
 
+func (p *peers) askGrant(ctx context.Context, a pacontrol.AskCredit) (pacredit.Grant, error) {
+	w, err := pawire.NewDRPCCreditsClient(p.conn(ctx, a.Address)).Ask(ctx, a.Ask.Wire())
+	if err != nil {
+		return pacredit.Grant{}, trace.Wrap(err)
+	}
+	return pacredit.GrantFromWire(w)
+}
+
+// noteAsk logs the first of a granter's asks in a row that fail, and the first one that is answered again.
+func (p *peers) noteAsk(granter netip.AddrPort, err error) {
+	_, failed := p.unanswered.LoadOrStore(granter, nil)
+	switch {
+	case err == nil:
+		p.unanswered.Delete(granter)
+		if failed {
+			p.daemon.record(paevent.CreditsAnswered{Granter: granter.String()})
+		}
+	case !failed:
+		p.daemon.record(paevent.CreditsUnanswered{Granter: granter.String(), Reason: err.Error()})
+	}
+}
+
 func (p *peers) announce(ctx context.Context, a pacontrol.Announce) {
 	p.call(ctx, controlTimeout, nothing, func(ctx context.Context) {
 		w, err := pawire.NewDRPCAgreementClient(p.conn(ctx, a.Address)).Announce(ctx, a.Announcement.Wire())
--- a/paentry/peers.go
+++ b/paentry/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -42,6 +43,8 @@
 	daemon *Daemon
 	pool   *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
 	slots  chan struct{}
+	// unanswered holds the addresses of granters whose last answer to an ask for credits was an error.
+	unanswered sync.Map
 }
 
 func newPeers(d *Daemon) *peers {
--- a/paevent/limit.go
+++ b/paevent/limit.go
@@ -1,7 +1,7 @@
 package paevent
 
 // limitEvents are numbers 5001 to 5999: shifts, credits, links and the key ledger.
-var limitEvents = []Event{ShiftStarted{}, ShiftEnded{}, RegionShed{}, CreditsVoided{}, LedgerHandedOver{}}
+var limitEvents = []Event{ShiftStarted{}, ShiftEnded{}, RegionShed{}, CreditsVoided{}, CreditsUnanswered{}, CreditsAnswered{}, LedgerHandedOver{}}
 
 // ShiftStarted reports that shares of a service began to move.
 type ShiftStarted struct {
@@ -56,6 +56,33 @@
 
 func (CreditsVoided) sealed() {}
 
+// CreditsUnanswered reports that a granter's asks for credits began to fail.
+type CreditsUnanswered struct {
+	// Granter is the granter's address for other daemons.
+	Granter string
+	Reason  string
+}
+
+// Kind returns the catalogue's entry.
+func (CreditsUnanswered) Kind() Kind {
+	return Kind{Number: 5005, Name: "CreditsUnanswered", Level: Warning, Text: "An ask for credits failed; requests for that entry VM's region wait or are refused until one is answered."}
+}
+
+func (CreditsUnanswered) sealed() {}
+
+// CreditsAnswered reports that a granter answers asks for credits again.
+type CreditsAnswered struct {
+	// Granter is the granter's address for other daemons.
+	Granter string
+}
+
+// Kind returns the catalogue's entry.
+func (CreditsAnswered) Kind() Kind {
+	return Kind{Number: 5006, Name: "CreditsAnswered", Level: Info, Text: "An entry VM whose asks for credits failed answers them again."}
+}
+
+func (CreditsAnswered) sealed() {}
+
 // LedgerHandedOver reports that a keeper gave its memory to its successors.
 type LedgerHandedOver struct{ Keys, Successors int }
 
