pagate, pasteer: what is warm is told once over each edge, and bounded

Cause: an entry VM told a note on if the object was not among the 25 that it remembered of the target. Where more objects run than are remembered, a note that came late was news again and went round among neighbours; each entry VM asked eight neighbours and a reader of another region for all notes, and told all of its own to readers of other regions.

Change: a note has an age; it is news if it is two seconds later than the last one on that object and target, and the object is one of those handled last there. An entry VM tells 200 notes a second at most after 2,048 at once. What the store kept is taken as 'read by all' and not told on.

--- a/pafleet/change.go
+++ b/pafleet/change.go
@@ -50,7 +50,11 @@
 }
 
 // WarmNote says that a target handled an object lately.
-type WarmNote struct{ Target, Object string }
+type WarmNote struct {
+	Target, Object string
+	// Age is how long ago that was.
+	Age time.Duration
+}
 
 // WarmKept is what was warm when an entry VM last kept it in the store.
 type WarmKept struct{ Notes []WarmNote }
--- a/pagate/directory.go
+++ b/pagate/directory.go
@@ -83,25 +83,6 @@
 	return all
 }
 
-// neighboursMost is how many entry VMs of its region an entry VM calls.
-//
-// Load: hundreds of entry VMs in a region, each calling all the others twice a second. Harm prevented: the calls
-// grow with the square of the region, and take the links between zones and the processors from callers.
-const neighboursMost = 8
-
-// neighbours returns those of the own region that follow this entry VM in the order of hashes, so that each
-// is called by as many as it calls.
-func (g *Gate) neighbours(entries []pafleet.Entry) []pafleet.Entry {
-	own := xxhash.Sum64String(g.self.Name)
-	all := slices.DeleteFunc(slices.Clone(entries), func(e pafleet.Entry) bool {
-		return e.Region != g.self.Region || e.Name == g.self.Name
-	})
-	slices.SortFunc(all, func(a, b pafleet.Entry) int {
-		return cmp.Compare(xxhash.Sum64String(a.Name)-own, xxhash.Sum64String(b.Name)-own)
-	})
-	return all[:min(len(all), neighboursMost)]
-}
-
 // live returns the entry VMs that run as far as is known, this one included, in the order of their names.
 func (g *Gate) live(s *state) []pafleet.Entry {
 	all := []pafleet.Entry{g.self}
--- a/pagate/peers.go
+++ b/pagate/peers.go
@@ -33,6 +33,8 @@
 	mutex sync.Mutex
 	known map[string]*peer
 	conns map[netip.AddrPort]*peerConn
+	// notes is what may be told of warm objects now.
+	notes noteBudget
 }
 
 // peer is what calls to a neighbour showed.
@@ -47,10 +49,9 @@
 type peerConn struct {
 	busy sync.Mutex
 	conn *drpcconn.Conn
-	// entry is what the neighbour said of itself on this connection; warm is its last note that came, told the
-	// last one of this entry VM that it has.
-	entry      pafleet.Entry
-	warm, told uint64
+	// entry is what the neighbour said of itself on this connection; warm is its last note that came.
+	entry pafleet.Entry
+	warm  uint64
 }
 
 // drop closes the connection after a failed call; the next call opens another.
@@ -87,6 +88,9 @@
 	if r := g.nearestReader(s); r.Name != "" {
 		all[r.Peers] = r
 	}
+	for _, e := range g.farHeralds(s) {
+		all[e.Peers] = e
+	}
 	if s.table == nil || g.config.Clock.Since(s.readAt) > 2*maxAge {
 		for _, a := range g.config.Settings.Seeds {
 			if _, ok := all[a]; !ok {
@@ -155,12 +159,7 @@
 	}
 }
 
-// call exchanges with one neighbour. Those of the own region call this entry VM too and ask what it knows; to one of
-// another region it tells what is warm.
-//
-// Load: the last entry VM of a region is stopped, and its callers are sent to other regions. Harm prevented: the
-// entry VMs there do not know where their objects are warm, and each runs cold once more. Cold runs of objects that
-// were warm elsewhere, in the four seconds after such a stop: 50 before, 1 now, counted in the logs of one day.
+// call exchanges with one neighbour.
 func (p *peers) call(ctx context.Context, e pafleet.Entry) {
 	c := p.conn(e.Peers)
 	if !c.busy.TryLock() {
@@ -171,7 +170,7 @@
 	defer cancel()
 	sent := p.gate.config.Clock.Now()
 	asked := p.source(e)
-	r, err := p.exchange(ctx, c, e.Peers, asked)
+	r, err := p.exchange(ctx, c, e, asked)
 	if err != nil {
 		if c.conn != nil {
 			c.drop(p.gate)
@@ -207,17 +206,17 @@
 	return c
 }
 
-func (p *peers) exchange(ctx context.Context, c *peerConn, a netip.AddrPort, asked bool) (*pawire.SyncReply, error) {
+func (p *peers) exchange(ctx context.Context, c *peerConn, e pafleet.Entry, asked bool) (*pawire.SyncReply, error) {
 	if c.conn == nil {
-		raw, err := p.gate.config.Network.Dial(ctx, "tcp", a.String())
+		raw, err := p.gate.config.Network.Dial(ctx, "tcp", e.Peers.String())
 		if err != nil {
 			return nil, trace.Wrap(err)
 		}
-		c.conn, c.entry, c.warm, c.told = drpcconn.New(raw), pafleet.Entry{}, 0, 0
+		c.conn, c.entry, c.warm = drpcconn.New(raw), pafleet.Entry{}, 0
 	}
 	q := &pawire.SyncRequest{
 		Name: p.gate.self.Name, Revision: uint64(p.gate.state.Load().revision), Leaving: p.gate.leaving.Load(),
-		WarmAfter: c.warm,
+		WarmAfter: c.warm, WarmWanted: p.gate.asksForNotes(e),
 	}
 	if !asked {
 		q.Revision = nothingNew
@@ -225,14 +224,7 @@
 	if c.entry.Name == "" {
 		q.Entry = p.self()
 	}
-	told := c.told
-	if c.entry.Name != "" && c.entry.Region != p.gate.self.Region {
-		q.Warm, told = p.warmAfter(told)
-	}
 	r, err := pawire.NewDRPCSyncingClient(c.conn).Sync(ctx, q)
-	if err == nil {
-		c.told = told
-	}
 	return r, trace.Wrap(err)
 }
 
@@ -253,8 +245,10 @@
 		}
 	}
 	p.heard(c.entry, r.GetLeaving())
-	p.hearWarm(r.GetWarm())
-	c.warm = r.GetWarmLast()
+	if r.GetWarmLast() > 0 {
+		p.hearWarm(r.GetWarm())
+		c.warm = r.GetWarmLast()
+	}
 	said := peerSaid{
 		revision: pafleet.Revision(r.GetRevision()), asked: asked,
 		readAt: sent.Add(-time.Duration(r.GetAgeMicroseconds()) * time.Microsecond),
@@ -269,29 +263,6 @@
 	p.gate.post(ctx, said)
 }
 
-func (p *peers) hearWarm(all []*pawire.WarmNote) {
-	if len(all) == 0 {
-		return
-	}
-	notes := make([]pafleet.WarmNote, 0, len(all))
-	for _, n := range all {
-		notes = append(notes, pafleet.WarmNote{Target: n.GetTarget(), Object: n.GetObject()})
-	}
-	p.gate.steering.Lock()
-	defer p.gate.steering.Unlock()
-	p.gate.steer.HearWarm(notes, p.gate.config.Clock.Now())
-}
-
-func (p *peers) warmAfter(after uint64) (out []*pawire.WarmNote, last uint64) {
-	p.gate.steering.Lock()
-	defer p.gate.steering.Unlock()
-	all, last := p.gate.steer.WarmNotes(after)
-	for _, n := range all {
-		out = append(out, &pawire.WarmNote{Target: n.Target, Object: n.Object})
-	}
-	return out, last
-}
-
 // Sync answers a neighbour's call.
 func (p *peers) Sync(ctx context.Context, q *pawire.SyncRequest) (*pawire.SyncReply, error) {
 	s := p.gate.state.Load()
@@ -309,8 +280,9 @@
 	} else {
 		p.heardAgain(q.GetName(), q.GetLeaving())
 	}
-	p.hearWarm(q.GetWarm())
-	r.Warm, r.WarmLast = p.warmAfter(q.GetWarmAfter())
+	if q.GetWarmWanted() {
+		r.Warm, r.WarmLast = p.warmAfter(q.GetWarmAfter())
+	}
 	if uint64(s.revision) <= q.GetRevision() {
 		return r, nil
 	}
--- a/pagate/warm.go
+++ b/pagate/warm.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"papayahead/paevent"
 	"papayahead/pafleet"
 	"papayahead/paplatform"
+	"papayahead/pawire"
 )
 
 const (
@@ -50,8 +52,70 @@
 	for _, c := range all {
 		if k, ok := c.(pafleet.WarmKept); ok {
 			g.steering.Lock()
-			g.steer.HearWarm(k.Notes, now)
+			g.steer.HearKept(k.Notes, now)
 			g.steering.Unlock()
 		}
 	}
 }
+
+const (
+	// noteRate is how many notes a second an entry VM tells, to all neighbours together: each takes some
+	// 30 bytes, and control may take 10 KB a second. Where more become known, neighbours hear of them later.
+	noteRate = 200
+	// noteBurst is how many may be told at once, as after a start.
+	noteBurst = 2048
+)
+
+// noteBudget bounds what is told of warm objects, whatever the fleet, the objects and the churn.
+type noteBudget struct {
+	mutex sync.Mutex
+	left  float64
+	at    time.Time
+}
+
+// available returns how many notes may be told now.
+func (b *noteBudget) available(now time.Time) int {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.at.IsZero() {
+		b.left = noteBurst
+	} else {
+		b.left = min(noteBurst, b.left+noteRate*now.Sub(b.at).Seconds())
+	}
+	b.at = now
+	return int(b.left)
+}
+
+func (b *noteBudget) spend(n int) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.left -= float64(n)
+}
+
+func (p *peers) hearWarm(all []*pawire.WarmNote) {
+	if len(all) == 0 {
+		return
+	}
+	notes := make([]pafleet.WarmNote, 0, len(all))
+	for _, n := range all {
+		age := time.Duration(n.GetAgeMilliseconds()) * time.Millisecond
+		notes = append(notes, pafleet.WarmNote{Target: n.GetTarget(), Object: n.GetObject(), Age: age})
+	}
+	p.gate.steering.Lock()
+	defer p.gate.steering.Unlock()
+	p.gate.steer.HearWarm(notes, p.gate.config.Clock.Now())
+}
+
+// warmAfter returns the notes after one that the neighbour has, as far as the budget lasts.
+func (p *peers) warmAfter(after uint64) (out []*pawire.WarmNote, last uint64) {
+	now := p.gate.config.Clock.Now()
+	most := p.notes.available(now)
+	p.gate.steering.Lock()
+	all, last := p.gate.steer.WarmNotes(after, most, now)
+	p.gate.steering.Unlock()
+	p.notes.spend(len(all))
+	for _, n := range all {
+		out = append(out, &pawire.WarmNote{Target: n.Target, Object: n.Object, AgeMilliseconds: uint32(n.Age.Milliseconds())})
+	}
+	return out, last
+}
--- /dev/null
+++ b/pasteer/note.go
@@ -0,0 +1,94 @@
+package pasteer
+
+import (
+	"time"
+
+	"papayahead/pafleet"
+)
+
+const (
+	// warmNotes is how many notes are kept for neighbours that ask for them. A neighbour that asks later than
+	// these came misses the oldest, and learns of those objects when it meets them or when they are told again.
+	warmNotes = 4096
+	// noteStep is by how much a note must be later than the one before it on the same object and target to be
+	// news: more than the times of one fact differ by the ways on which it comes.
+	noteStep = 2 * time.Second
+	// noteAgain is how long after a note the object is told again if it is still in use.
+	noteAgain = warmLife / 2
+	// toldMost bounds the notes remembered of a target.
+	toldMost = 64
+)
+
+// noteLog is the notes for neighbours, in the order in which they became known here.
+type noteLog struct {
+	ring []datedNote
+	last uint64
+}
+
+type datedNote struct {
+	target, object string
+	at             time.Time
+}
+
+func (l *noteLog) add(n datedNote) {
+	if len(l.ring) < warmNotes {
+		l.ring = append(l.ring, n)
+	} else {
+		l.ring[l.last%warmNotes] = n
+	}
+	l.last++
+}
+
+// after returns up to a number of notes that follow the one with the given number, and the number of the last returned.
+func (l *noteLog) after(last uint64, most int, now time.Time) ([]pafleet.WarmNote, uint64) {
+	first := min(last, l.last)
+	if last > l.last || l.last-first > uint64(len(l.ring)) {
+		first = l.last - uint64(len(l.ring))
+	}
+	end := min(l.last, first+uint64(max(0, most)))
+	var all []pafleet.WarmNote
+	for i := first; i < end; i++ {
+		n := l.ring[i%warmNotes]
+		all = append(all, pafleet.WarmNote{Target: n.target, Object: n.object, Age: max(0, now.Sub(n.at))})
+	}
+	return all, end
+}
+
+// WarmNotes returns up to a number of notes after one whose number was returned before, and the number of the last.
+func (s *Steer) WarmNotes(after uint64, most int, now time.Time) ([]pafleet.WarmNote, uint64) {
+	return s.notes.after(after, most, now)
+}
+
+// HearWarm takes a neighbour's notes and keeps those that are news for other neighbours.
+//
+// Load: more objects than targets keep warm, so that notes are many. Harm prevented: a note that came late, on an
+// object that was pushed out meanwhile, was news again, and went round among neighbours without end.
+func (s *Steer) HearWarm(all []pafleet.WarmNote, now time.Time) {
+	for _, n := range all {
+		t := s.targets[n.Target]
+		if t == nil || n.Object == "" {
+			continue
+		}
+		t.used = true
+		at := now.Add(-min(max(0, n.Age), warmLife))
+		if t.warm.hear(n.Object, at) {
+			s.notes.add(datedNote{n.Target, n.Object, at})
+		}
+	}
+}
+
+// HearKept takes what was kept of warm objects, which all entry VMs read for themselves.
+func (s *Steer) HearKept(all []pafleet.WarmNote, now time.Time) {
+	for _, n := range all {
+		if t := s.targets[n.Target]; t != nil && n.Object != "" {
+			t.warm.hear(n.Object, now.Add(-min(max(0, n.Age), warmLife)))
+		}
+	}
+}
+
+// noteUse notes that a target got a request for the object.
+func (s *Steer) noteUse(t *target, object string, now time.Time) {
+	if t.warm.use(object, now) {
+		s.notes.add(datedNote{t.member.ID, object, now})
+	}
+}
--- a/pasteer/outcome.go
+++ b/pasteer/outcome.go
@@ -1,10 +1,6 @@
 package pasteer
 
-import (
-	"time"
-
-	"papayahead/pafleet"
-)
+import "time"
 
 // Outcome is how a request ended at a target.
 type Outcome int
@@ -80,7 +76,7 @@
 
 // Start counts a request that is sent to the chosen target.
 func (s *Steer) Start(c Choice, q Request, now time.Time) {
-	t, object := s.targets[c.Target], q.Object
+	t := s.targets[c.Target]
 	if t == nil {
 		return
 	}
@@ -96,9 +92,7 @@
 	if t.isCold(now) {
 		t.cold.take(now, s.coldRate(t, now))
 	}
-	if t.warm.add(object, now) {
-		s.note(pafleet.WarmNote{Target: c.Target, Object: object})
-	}
+	s.noteUse(t, q.Object, now)
 }
 
 // noteLoad notes since when the target is full.
@@ -149,9 +143,7 @@
 	case Answered:
 		s.workOf(r.Route).add(r.Warm, r.Took)
 		t.failures, t.errors = 0, t.errors*(1-errorWeight)
-		if t.warm.add(r.Object, now) {
-			s.note(pafleet.WarmNote{Target: r.Target, Object: r.Object})
-		}
+		s.noteUse(t, r.Object, now)
 	case Failed:
 		t.errors = t.errors*(1-errorWeight) + errorWeight
 	case Shed:
--- a/pasteer/steer.go
+++ b/pasteer/steer.go
@@ -36,9 +36,8 @@
 	shifts window
 	// used are the services that this entry VM has sent requests to.
 	used map[string]bool
-	// notes holds the last warmNotes notes of noted.
-	notes []pafleet.WarmNote
-	noted uint64
+	// notes is what neighbours are told of warm objects.
+	notes noteLog
 	// startedAt is when the first view came.
 	startedAt time.Time
 	// entries is how many entry VMs share the retry budget, mostPerZone the most in one availability zone.
--- a/pasteer/steer_test.go
+++ b/pasteer/steer_test.go
@@ -81,13 +81,13 @@
 		warm = "c2-0"
 	}
 	other.Start(Choice{Target: warm}, request("x", begin), begin)
-	notes, last := other.WarmNotes(0)
+	notes, last := other.WarmNotes(0, warmNotes, begin)
 	one.HearWarm(notes, begin)
 	q.Tried = []string{home}
 	if c := one.Choose(q, begin); c.Target != warm || !c.Warm {
 		t.Errorf("target %s, want the warm %s", c.Target, warm)
 	}
-	if again, _ := other.WarmNotes(last); len(again) != 0 {
+	if again, _ := other.WarmNotes(last, warmNotes, begin); len(again) != 0 {
 		t.Errorf("%d notes are told twice", len(again))
 	}
 }
@@ -95,13 +95,13 @@
 func TestNotesThatWereOverwrittenAreNotAskedFor(t *testing.T) {
 	s := newSteer("a1", fleet(2))
 	for i := range warmNotes + 10 {
-		s.note(pafleet.WarmNote{Target: "t", Object: fmt.Sprint(i)})
+		s.notes.add(datedNote{"t", fmt.Sprint(i), begin})
 	}
-	all, last := s.WarmNotes(3)
+	all, last := s.WarmNotes(3, 2*warmNotes, begin)
 	if len(all) != warmNotes || all[len(all)-1].Object != fmt.Sprint(warmNotes+9) || last != warmNotes+10 {
 		t.Errorf("%d notes up to %d", len(all), last)
 	}
-	if all, _ := s.WarmNotes(last + 500); len(all) != warmNotes {
+	if all, _ := s.WarmNotes(last+500, 2*warmNotes, begin); len(all) != warmNotes {
 		t.Errorf("a neighbour that knew a former lifetime of the process gets %d notes, want all", len(all))
 	}
 }
--- a/pasteer/warm.go
+++ b/pasteer/warm.go
@@ -15,9 +15,12 @@
 	warmLife = 30 * time.Second
 )
 
-// warmSet is the objects that a target handled lately.
+// warmSet is the objects that a target handled last. The zero value is ready.
 type warmSet struct {
+	// seen is when each of them was handled last, as far as is known.
 	seen map[string]time.Time
+	// told is the time of the latest note on an object. It outlives seen, so that a late note is no news.
+	told map[string]time.Time
 }
 
 func (w *warmSet) has(object string, now time.Time) bool {
@@ -25,58 +28,62 @@
 	return ok && now.Sub(at) < warmLife
 }
 
-// add remembers the object and says whether it is news.
-func (w *warmSet) add(object string, now time.Time) bool {
+// use remembers that the target handles the object now, and says whether neighbours should hear of it.
+func (w *warmSet) use(object string, now time.Time) bool {
 	if object == "" {
 		return false
 	}
-	news := !w.has(object, now)
+	known := w.has(object, now)
 	w.put(object, now)
-	return news
+	since := now.Sub(w.told[object])
+	if since < noteStep || known && since < noteAgain {
+		return false
+	}
+	w.tell(object, now)
+	return true
 }
 
-func (w *warmSet) put(object string, now time.Time) {
+// hear remembers that the target handled the object at a time, and says whether that is news.
+func (w *warmSet) hear(object string, at time.Time) bool {
+	if told, ok := w.told[object]; ok && at.Sub(told) < noteStep {
+		return false
+	}
+	w.tell(object, at)
+	return w.put(object, at)
+}
+
+// put remembers the object as one of those that were handled last, and says whether it is one.
+func (w *warmSet) put(object string, at time.Time) bool {
 	if w.seen == nil {
 		w.seen = map[string]time.Time{}
 	}
-	w.seen[object] = now
+	w.seen[object] = later(w.seen[object], at)
 	if len(w.seen) <= warmMost {
-		return
-	}
-	oldest := object
-	for o, at := range w.seen {
-		if at.Before(w.seen[oldest]) {
-			oldest = o
-		}
+		return true
 	}
-	delete(w.seen, oldest)
+	out := oldest(w.seen)
+	delete(w.seen, out)
+	return out != object
 }
 
-// warmNotes is how many notes are kept for neighbours that ask for them: the objects of a service on
-// all its homes, and what changes in some seconds.
-const warmNotes = 1024
-
-// note appends to the notes for neighbours.
-func (s *Steer) note(n pafleet.WarmNote) {
-	if len(s.notes) < warmNotes {
-		s.notes = append(s.notes, n)
-	} else {
-		s.notes[s.noted%warmNotes] = n
+func (w *warmSet) tell(object string, at time.Time) {
+	if w.told == nil {
+		w.told = map[string]time.Time{}
+	}
+	w.told[object] = at
+	if len(w.told) > toldMost {
+		delete(w.told, oldest(w.told))
 	}
-	s.noted++
 }
 
-// WarmNotes returns the notes after a number that was returned before, and the number of the last.
-func (s *Steer) WarmNotes(after uint64) ([]pafleet.WarmNote, uint64) {
-	first := min(after, s.noted)
-	if after > s.noted || s.noted-first > uint64(len(s.notes)) {
-		first = s.noted - uint64(len(s.notes))
-	}
-	var all []pafleet.WarmNote
-	for i := first; i < s.noted; i++ {
-		all = append(all, s.notes[i%warmNotes])
+func oldest(all map[string]time.Time) string {
+	first, found := "", false
+	for o, at := range all {
+		if !found || at.Before(all[first]) {
+			first, found = o, true
+		}
 	}
-	return all, s.noted
+	return first
 }
 
 // Warm returns what is warm now at targets that may be used, the latest first, at most a number of notes; and the number of the last note
@@ -90,7 +97,7 @@
 	for id, t := range s.targets {
 		for o, at := range t.warm.seen {
 			if !t.closed && now.Sub(at) < warmLife {
-				all = append(all, seen{pafleet.WarmNote{Target: id, Object: o}, at})
+				all = append(all, seen{pafleet.WarmNote{Target: id, Object: o, Age: now.Sub(at)}, at})
 			}
 		}
 	}
@@ -101,24 +108,7 @@
 	for _, n := range all[:min(most, len(all))] {
 		notes = append(notes, n.note)
 	}
-	return notes, s.noted
-}
-
-// HearWarm takes a neighbour's notes.
-//
-// Load: targets of an object go, and its requests arrive at all entry VMs. Harm prevented: each would
-// run cold at the next target in the ranking though another one, known to a neighbour, is warm.
-func (s *Steer) HearWarm(all []pafleet.WarmNote, now time.Time) {
-	for _, n := range all {
-		t := s.targets[n.Target]
-		if t == nil {
-			continue
-		}
-		t.used = true
-		if t.warm.add(n.Object, now) {
-			s.note(n)
-		}
-	}
+	return notes, s.notes.last
 }
 
 // workWeight is the weight of the latest run in the expected time of a route's work.
