pasteer: a decision weighs a shortlist, and allocates nothing

Cause: each decision ranked all targets of the service under the lock that all requests share.

Change: the first 16 of an object's ranking are kept and follow targets that join and leave; a decision weighs these and the targets where the object is warm, which an index names; all targets only where fewer than six of them may get the request. A request without an object weighs 16 targets of each distance, in turn.

--- a/pasteer/choose.go
+++ b/pasteer/choose.go
@@ -22,6 +22,9 @@
 	Tried []string
 	// Deadline is when its answer is of no more use.
 	Deadline time.Time
+
+	// hash is the key once it is known.
+	hash uint64
 }
 
 // Choice is a target for a request, or a refusal.
@@ -80,53 +83,29 @@
 	return name
 }
 
-// candidate is a target in the order of preference.
-type candidate struct {
-	target *target
-	hash   uint64
-	// usable says that the target may get the request now; one that does not answer, or is cold and has all
-	// that it bears, may not, but stays the home of its objects.
-	usable bool
-}
-
 // Choose returns where the request goes. Follow it with Start if it is sent.
 func (s *Steer) Choose(q Request, now time.Time) Choice {
 	g := s.services[q.Service]
 	if g == nil {
 		return Choice{Reason: ReasonNoTarget, ComeBack: comeBackNoTarget}
 	}
-	all, usable, cold := s.candidates(g, q, now)
+	q.hash = q.key()
+	l := s.shortlistOf(g, q, now)
 	switch {
-	case usable == 0 && cold:
+	case l.usable == 0 && l.cold:
 		return Choice{Reason: ReasonCold, ComeBack: comeBackCold}
-	case usable == 0:
+	case l.usable == 0:
 		return Choice{Reason: ReasonNoTarget, ComeBack: comeBackNoTarget}
 	}
-	return s.pick(all, q, now)
+	return s.pick(g, l.all, q, now)
 }
 
-// candidates returns the targets that may handle the request, best first, how many are usable now, and
-// whether there are cold ones that may not take more now.
-func (s *Steer) candidates(g *service, q Request, now time.Time) (all []candidate, usable int, cold bool) {
-	all = make([]candidate, 0, len(g.targets))
-	for _, t := range g.targets {
-		if t.closed || !q.Route.Allows(t.region) || slices.Contains(q.Tried, t.member.ID) {
-			continue
-		}
-		c := candidate{t, rendezvous(q.Object, t.member.ID), t.reachable(now)}
-		if c.usable && t.isCold(now) && (now.Before(t.cold.full) || s.coldRate(t, now) == 0) {
-			c.usable, cold = false, true
-		}
-		if c.usable {
-			usable++
-		}
-		all = append(all, c)
-	}
-	slices.SortFunc(all, func(a, b candidate) int { return cmp.Compare(b.hash, a.hash) })
-	if !q.bound() {
-		slices.SortStableFunc(all, func(a, b candidate) int { return cmp.Compare(a.target.near, b.target.near) })
+// key is the hash of the request's object within its service.
+func (q Request) key() uint64 {
+	if q.hash != 0 {
+		return q.hash
 	}
-	return all, usable, cold
+	return hashOf(q.Service, q.Object)
 }
 
 // bound says that the request's object has homes.
@@ -137,12 +116,13 @@
 	return !now.Before(t.downUntil) && (!t.silent(now) || !now.Before(t.tryAt))
 }
 
-func rendezvous(object, id string) uint64 {
+// hashOf is the hash of two names.
+func hashOf(one, other string) uint64 {
 	var d xxhash.Digest
 	d.Reset()
-	_, _ = d.WriteString(object)
+	_, _ = d.WriteString(one)
 	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(id)
+	_, _ = d.WriteString(other)
 	return d.Sum64()
 }
 
--- a/pasteer/cold.go
+++ b/pasteer/cold.go
@@ -78,9 +78,9 @@
 			continue
 		}
 		f := feeder{n: len(names) + 1}
-		own := rendezvous(zone, s.Config.Name)
+		own := hashOf(zone, s.Config.Name)
 		for _, name := range names {
-			if rendezvous(zone, name) > own {
+			if hashOf(zone, name) > own {
 				f.rank++
 			}
 		}
--- a/pasteer/newcomer.go
+++ b/pasteer/newcomer.go
@@ -16,13 +16,13 @@
 // Load: an operator adds targets to a service whose objects are all warm elsewhere. Harm prevented: every
 // object stays where it is warm, and the new targets stand idle for as long as the others bear the load.
 // One cold run begins their use; the objects whose first home they are then stay there.
-func newcomer(all []candidate, now time.Time) *target {
-	for i, c := range all {
-		t := c.target
-		if !c.usable || t.used || t.joinedAt.IsZero() || t.near == nearNone {
+func (s *Steer) newcomer(g *service, all []candidate, q Request, now time.Time) *target {
+	for _, t := range g.newcomers {
+		if t.used || !s.mayTake(t, q, now) {
 			continue
 		}
-		if here := now.Sub(t.joinedAt); i == 0 && here > newcomerAfter || here > newcomerLate {
+		first := len(all) > 0 && all[0].target == t
+		if here := now.Sub(t.joinedAt); first && here > newcomerAfter || here > newcomerLate {
 			return t
 		}
 	}
--- a/pasteer/note.go
+++ b/pasteer/note.go
@@ -71,7 +71,7 @@
 		}
 		t.used = true
 		at := now.Add(-min(max(0, n.Age), warmLife))
-		if t.warm.hear(n.Object, at) {
+		if s.hear(t, n.Object, at) {
 			s.notes.add(datedNote{n.Target, n.Object, at})
 		}
 	}
@@ -81,14 +81,31 @@
 func (s *Steer) HearKept(all []pafleet.WarmNote, now time.Time) {
 	for _, n := range all {
 		if t := s.targets[n.Target]; t != nil && n.Object != "" {
-			t.warm.hear(n.Object, now.Add(-min(max(0, n.Age), warmLife)))
+			s.hear(t, n.Object, now.Add(-min(max(0, n.Age), warmLife)))
 		}
 	}
 }
 
-// noteUse notes that a target got a request for the object.
+// hear remembers that the target handled the object at a time, and says whether that is news.
+func (s *Steer) hear(t *target, object string, at time.Time) bool {
+	if told, ok := t.warm.told[object]; ok && at.Sub(told) < noteStep {
+		return false
+	}
+	t.warm.tell(object, at)
+	return s.remember(t, object, at)
+}
+
+// noteUse remembers that the target handles the object now, and keeps it for neighbours if it is news.
 func (s *Steer) noteUse(t *target, object string, now time.Time) {
-	if t.warm.use(object, now) {
-		s.notes.add(datedNote{t.member.ID, object, now})
+	if object == "" {
+		return
+	}
+	known := t.warm.has(object, now)
+	s.remember(t, object, now)
+	since := now.Sub(t.warm.told[object])
+	if since < noteStep || known && since < noteAgain {
+		return
 	}
+	t.warm.tell(object, now)
+	s.notes.add(datedNote{t.member.ID, object, now})
 }
--- a/pasteer/outcome.go
+++ b/pasteer/outcome.go
@@ -160,6 +160,7 @@
 		t.downUntil = later(t.downUntil, now.Add(downFirst))
 	case Refused:
 		t.fail(now)
+		s.forget(t)
 	}
 }
 
@@ -176,5 +177,4 @@
 	wait := min(downMost, downFirst<<min(t.failures-1, 4))
 	t.downUntil = later(t.downUntil, now.Add(wait))
 	t.coldUntil = later(t.coldUntil, now.Add(suspectCold))
-	t.warm = warmSet{}
 }
--- a/pasteer/pick.go
+++ b/pasteer/pick.go
@@ -1,6 +1,7 @@
 package pasteer
 
 import (
+	"slices"
 	"time"
 
 	"papayahead/paroute"
@@ -43,13 +44,14 @@
 }
 
 // usableOf returns the candidates that may get the request now.
-func usableOf(all []candidate) []candidate {
-	usable := make([]candidate, 0, len(all))
+func (s *Steer) usableOf(all []candidate) []candidate {
+	usable := s.scratchUsable[:0]
 	for _, c := range all {
 		if c.usable {
 			usable = append(usable, c)
 		}
 	}
+	s.scratchUsable = usable
 	return usable
 }
 
@@ -60,15 +62,18 @@
 // times the slot time of warm work and pushes another object out; soon all work everywhere is cold
 // and the service has a third of its capacity, long after the burst. So waiting at a warm target is
 // preferred until it costs more than the cold run and what that takes from others.
-func (s *Steer) pick(all []candidate, q Request, now time.Time) Choice {
+func (s *Steer) pick(g *service, all []candidate, q Request, now time.Time) Choice {
 	var best Choice
 	var least time.Duration
-	if t := newcomer(all, now); t != nil {
+	if t := s.newcomer(g, all, q, now); t != nil {
 		return Choice{Target: t.member.ID, Address: t.member.Address, Born: t.member.Born, finish: s.expected(q, false)}
 	}
-	usable := usableOf(all)
-	region := s.settled(all, usable, q, now)
+	usable := s.usableOf(all)
+	region := s.settled(g, all, usable, q, now)
 	held := region != "" && !s.mayShift(now)
+	if held {
+		usable = s.withFirstIn(g, region, usable, q, now)
+	}
 	for i, c := range usable {
 		shifts := region != "" && c.target.region != region
 		if held && shifts {
@@ -94,6 +99,23 @@
 	return best
 }
 
+// withFirstIn adds the first target of a region where none of the ranking's first is in it: a request that is held
+// there may run cold at it.
+func (s *Steer) withFirstIn(g *service, region string, usable []candidate, q Request, now time.Time) []candidate {
+	for _, c := range usable {
+		if c.target.region == region && !c.target.warm.has(q.Object, now) {
+			return usable
+		}
+	}
+	t := s.firstIn(g, region, q, now)
+	if t == nil || t.warm.has(q.Object, now) {
+		return usable
+	}
+	usable = append(usable, candidate{ranked{t, rendezvous(q.key(), t.hash)}, true})
+	slices.SortFunc(usable, byRank)
+	return usable
+}
+
 // estimate is what a request is taken to meet at a target.
 type estimate struct {
 	load         float64
--- /dev/null
+++ b/pasteer/rank.go
@@ -0,0 +1,105 @@
+package pasteer
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// rankMost is how many targets of an object's ranking are kept: its homes, and others for when these drain,
+	// fail or are full.
+	rankMost = 16
+	// rankLeast is how few may be left of them before the ranking is made anew.
+	rankLeast = 8
+	// ranksMost is how many objects' rankings are kept of a service, twice over.
+	ranksMost = 4096
+)
+
+// ranked is a target in the ranking of an object.
+type ranked struct {
+	target *target
+	hash   uint64
+}
+
+// ranks keeps the first targets of the rankings of the objects that were asked for last. The zero value is ready.
+//
+// Load: thousands of targets, and hundreds of requests a second. Harm prevented: each decision ranked all targets of
+// its service, under the lock that all requests of the entry VM share.
+type ranks struct {
+	recent, older map[uint64][]ranked
+}
+
+// of returns the first targets of an object's ranking among all of the service.
+func (r *ranks) of(object uint64, all []*target) []ranked {
+	if top, ok := r.recent[object]; ok {
+		return top
+	}
+	top, ok := r.older[object]
+	if !ok {
+		top = rankOf(object, all)
+	}
+	r.put(object, top)
+	return top
+}
+
+func (r *ranks) put(object uint64, top []ranked) {
+	if r.recent == nil || len(r.recent) >= ranksMost {
+		r.older, r.recent = r.recent, map[uint64][]ranked{}
+	}
+	r.recent[object] = top
+}
+
+// join puts a new target into the rankings that it belongs to.
+func (r *ranks) join(t *target) {
+	for _, all := range []map[uint64][]ranked{r.recent, r.older} {
+		for object, top := range all {
+			all[object] = insertRanked(top, ranked{t, rendezvous(object, t.hash)})
+		}
+	}
+}
+
+// leave takes a target out of all rankings; one that gets too short is made anew when it is asked for.
+func (r *ranks) leave(t *target) {
+	for _, all := range []map[uint64][]ranked{r.recent, r.older} {
+		for object, top := range all {
+			i := slices.IndexFunc(top, func(e ranked) bool { return e.target == t })
+			switch {
+			case i < 0:
+			case len(top) <= rankLeast:
+				delete(all, object)
+			default:
+				all[object] = slices.Delete(top, i, i+1)
+			}
+		}
+	}
+}
+
+// rankOf ranks all targets and returns the first of them.
+func rankOf(object uint64, all []*target) []ranked {
+	top := make([]ranked, 0, rankMost+1)
+	for _, t := range all {
+		top = insertRanked(top, ranked{t, rendezvous(object, t.hash)})
+	}
+	return top
+}
+
+// insertRanked puts a target where it belongs and drops what is then too much.
+func insertRanked(top []ranked, e ranked) []ranked {
+	if len(top) >= rankMost && e.hash <= top[len(top)-1].hash {
+		return top
+	}
+	i, _ := slices.BinarySearchFunc(top, e, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
+	top = slices.Insert(top, i, e)
+	return top[:min(len(top), rankMost)]
+}
+
+// rendezvous is the weight of a name for an object, both by their hashes: the highest comes first.
+func rendezvous(object, name uint64) uint64 {
+	var b [16]byte
+	binary.LittleEndian.PutUint64(b[:8], object)
+	binary.LittleEndian.PutUint64(b[8:], name)
+	return xxhash.Sum64(b[:])
+}
--- a/pasteer/shift.go
+++ b/pasteer/shift.go
@@ -35,45 +35,31 @@
 	p.recent[object] = target
 }
 
-// placeKey is the hash of an object within a service.
-func (q Request) placeKey() uint64 { return rendezvous(q.Object, q.Service) }
-
 // settled returns the region that the request goes to if nothing shifts: that of the target of the object's
 // last request here, of one that is warm by what neighbours tell, or of its home. It is empty where the object
 // has to move: its target drains, its availability zone is evacuated, or none in that region is usable.
 //
 // Load: the entry VMs of a region are stopped, and their callers come here. Harm prevented: taken for requests of
 // this region, they were kept in it, and each object ran cold though it was warm where it had always run.
-func (s *Steer) settled(all, usable []candidate, q Request, now time.Time) string {
+func (s *Steer) settled(g *service, all, usable []candidate, q Request, now time.Time) string {
 	if !q.bound() || len(q.Tried) > 0 {
 		return ""
 	}
-	home := &all[homeOf(all, q.Route)]
-	if last := s.places.get(q.placeKey()); last != "" {
-		home = find(all, last)
+	home := all[homeOf(all, q.Route)].target
+	if last := s.places.get(q.key()); last != "" {
+		home = s.targets[last]
 	} else if i := slices.IndexFunc(usable, func(c candidate) bool { return c.target.warm.has(q.Object, now) }); i >= 0 {
-		home = &usable[i]
+		home = usable[i].target
 	}
-	if home == nil {
+	if home == nil || !mayHandle(home, q) {
 		return ""
 	}
-	for _, c := range usable {
-		if c.target.region == home.target.region {
-			return c.target.region
-		}
+	if slices.ContainsFunc(usable, func(c candidate) bool { return c.target.region == home.region }) || s.firstIn(g, home.region, q, now) != nil {
+		return home.region
 	}
 	return ""
 }
 
-func find(all []candidate, id string) *candidate {
-	for i := range all {
-		if all[i].target.member.ID == id {
-			return &all[i]
-		}
-	}
-	return nil
-}
-
 // mayShift says whether one more request may change its region now.
 //
 // Load: the targets of a small region are full, and all that waits there looks quicker elsewhere. Harm
@@ -99,5 +85,5 @@
 	if c.Shifts {
 		s.shifts.further[i]++
 	}
-	s.places.put(q.placeKey(), c.Target)
+	s.places.put(q.key(), c.Target)
 }
--- a/pasteer/steer.go
+++ b/pasteer/steer.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"papayahead/pafleet"
 	"papayahead/paroute"
 )
@@ -36,6 +38,10 @@
 	shifts window
 	// used are the services that this entry VM has sent requests to.
 	used map[string]bool
+	// warmAt has the targets where an object is taken to be warm, by its key.
+	warmAt map[uint64][]*target
+	// scratch and scratchUsable are kept between decisions, which then allocate nothing.
+	scratch, scratchUsable []candidate
 	// notes is what neighbours are told of warm objects.
 	notes noteLog
 	// startedAt is when the first view came.
@@ -51,11 +57,20 @@
 	settings paroute.Service
 	targets  []*target
 	budget   window
+	// near and regions are the targets by their distance and region, newcomers those that may never have got a request.
+	near      [nearNone + 1][]*target
+	regions   map[string][]*target
+	newcomers []*target
+	ranks     ranks
+	// turn changes with each request that has no object, so that each meets other targets.
+	turn int
 }
 
 // target is what is known of one lifetime of a target.
 type target struct {
 	member pafleet.Member
+	// hash is the ID's.
+	hash   uint64
 	region string
 	// near is 0 in the own availability zone, 1 in the own region, 2 elsewhere.
 	near int
@@ -91,7 +106,7 @@
 func New(c Config) *Steer {
 	return &Steer{
 		Config: c, targets: map[string]*target{}, services: map[string]*service{},
-		splits: map[string]*paroute.Splitter{}, work: map[string]*workTime{}, used: map[string]bool{}, entries: 1, feeders: map[string]feeder{},
+		splits: map[string]*paroute.Splitter{}, work: map[string]*workTime{}, used: map[string]bool{}, warmAt: map[uint64][]*target{}, entries: 1, feeders: map[string]feeder{},
 	}
 }
 
@@ -105,17 +120,10 @@
 	}
 	s.feed(v)
 	s.entries = max(1, len(v.Entries))
-	old := s.services
-	s.services = make(map[string]*service, len(v.Config.Services))
-	for name, c := range v.Config.Services {
-		s.services[name] = &service{settings: c}
-		if o := old[name]; o != nil {
-			s.services[name].budget = o.budget
-		}
-	}
-	for id := range s.targets {
+	s.updateServices(v.Config)
+	for id, t := range s.targets {
 		if v.Targets[id] == nil {
-			delete(s.targets, id)
+			s.remove(t)
 		}
 	}
 	for id, m := range v.Targets {
@@ -123,17 +131,55 @@
 	}
 	for _, g := range s.services {
 		sortTargets(g.targets)
+		g.sortOut()
 	}
 }
 
+// updateServices takes the services of the configuration, without their targets.
+func (s *Steer) updateServices(c *paroute.Config) {
+	for name := range s.services {
+		if _, ok := c.Services[name]; !ok {
+			delete(s.services, name)
+		}
+	}
+	for name, settings := range c.Services {
+		g := s.services[name]
+		if g == nil {
+			g = &service{}
+			s.services[name] = g
+		}
+		g.settings, g.targets = settings, g.targets[:0]
+	}
+}
+
+// sortOut sorts the targets by distance and region.
+func (g *service) sortOut() {
+	g.near, g.regions, g.newcomers = [nearNone + 1][]*target{}, map[string][]*target{}, nil
+	for _, t := range g.targets {
+		g.near[t.near] = append(g.near[t.near], t)
+		g.regions[t.region] = append(g.regions[t.region], t)
+		if !t.joinedAt.IsZero() && !t.used && t.near < nearNone {
+			g.newcomers = append(g.newcomers, t)
+		}
+	}
+}
+
+// remove drops a lifetime of a target.
+func (s *Steer) remove(t *target) {
+	s.forget(t)
+	if g := s.services[t.member.Service]; g != nil {
+		g.ranks.leave(t)
+	}
+	delete(s.targets, t.member.ID)
+}
+
 func (s *Steer) updateTarget(id string, m *pafleet.Member, v *pafleet.View, now time.Time) {
 	t := s.targets[id]
 	if t == nil || t.member.Born != m.Born || t.member.Address != m.Address || t.member.Service != m.Service {
-		t = &target{}
-		s.targets[id] = t
-		if s.used[m.Service] {
-			t.joinedAt = now
+		if t != nil {
+			s.remove(t)
 		}
+		t = s.add(id, m, now)
 	}
 	wasCold := t.isCold(now)
 	t.member = *m
@@ -154,6 +200,19 @@
 	}
 }
 
+// add begins with a lifetime of a target.
+func (s *Steer) add(id string, m *pafleet.Member, now time.Time) *target {
+	t := &target{hash: xxhash.Sum64String(id)}
+	s.targets[id] = t
+	if s.used[m.Service] {
+		t.joinedAt = now
+	}
+	if g := s.services[m.Service]; g != nil {
+		g.ranks.join(t)
+	}
+	return t
+}
+
 // evacuationCold is how long targets count as cold after their evacuation ended: a heartbeat of
 // 1.5 s and a reading of the store of 1 s.
 const evacuationCold = 2500 * time.Millisecond
--- a/pasteer/warm.go
+++ b/pasteer/warm.go
@@ -28,42 +28,18 @@
 	return ok && now.Sub(at) < warmLife
 }
 
-// use remembers that the target handles the object now, and says whether neighbours should hear of it.
-func (w *warmSet) use(object string, now time.Time) bool {
-	if object == "" {
-		return false
-	}
-	known := w.has(object, now)
-	w.put(object, now)
-	since := now.Sub(w.told[object])
-	if since < noteStep || known && since < noteAgain {
-		return false
-	}
-	w.tell(object, now)
-	return true
-}
-
-// hear remembers that the target handled the object at a time, and says whether that is news.
-func (w *warmSet) hear(object string, at time.Time) bool {
-	if told, ok := w.told[object]; ok && at.Sub(told) < noteStep {
-		return false
-	}
-	w.tell(object, at)
-	return w.put(object, at)
-}
-
-// put remembers the object as one of those that were handled last, and says whether it is one.
-func (w *warmSet) put(object string, at time.Time) bool {
+// put remembers the object as one of those that were handled last, and returns the one that is pushed out for it.
+func (w *warmSet) put(object string, at time.Time) (out string) {
 	if w.seen == nil {
 		w.seen = map[string]time.Time{}
 	}
 	w.seen[object] = later(w.seen[object], at)
 	if len(w.seen) <= warmMost {
-		return true
+		return ""
 	}
-	out := oldest(w.seen)
+	out = oldest(w.seen)
 	delete(w.seen, out)
-	return out != object
+	return out
 }
 
 func (w *warmSet) tell(object string, at time.Time) {
@@ -86,6 +62,40 @@
 	return first
 }
 
+// remember notes that the target handled the object at a time, and says whether it is one of those handled last.
+func (s *Steer) remember(t *target, object string, at time.Time) bool {
+	_, known := t.warm.seen[object]
+	out := t.warm.put(object, at)
+	if out == object {
+		return false
+	}
+	if out != "" {
+		s.unindex(t, out)
+	}
+	if !known {
+		k := hashOf(t.member.Service, object)
+		s.warmAt[k] = append(s.warmAt[k], t)
+	}
+	return true
+}
+
+// unindex notes that the target no longer is one where the object is warm.
+func (s *Steer) unindex(t *target, object string) {
+	k := hashOf(t.member.Service, object)
+	all := slices.DeleteFunc(s.warmAt[k], func(o *target) bool { return o == t })
+	if s.warmAt[k] = all; len(all) == 0 {
+		delete(s.warmAt, k)
+	}
+}
+
+// forget drops what is known of warm objects at a target.
+func (s *Steer) forget(t *target) {
+	for o := range t.warm.seen {
+		s.unindex(t, o)
+	}
+	t.warm = warmSet{}
+}
+
 // Warm returns what is warm now at targets that may be used, the latest first, at most a number of notes; and the number of the last note
 // that WarmNotes returns, which grows with each change.
 func (s *Steer) Warm(most int, now time.Time) ([]pafleet.WarmNote, uint64) {
