pagate: the log's volume at a start and under overload is bounded

Change: ten lines a second on single targets and entry VMs, a hundred at once, none for what is known at a start; the sum says how many have no line. Fifty lines a second on refused and failed requests, five hundred at once; a counter has the rest.

--- a/paevent/gate.go
+++ b/paevent/gate.go
@@ -25,6 +25,8 @@
 type FleetChanged struct {
 	Revision                                   uint64
 	Targets, Draining, Entries, EvacuatedZones int
+	// Unlisted is how many changes of single targets and entry VMs have no line of their own since the last sum.
+	Unlisted int
 }
 
 // Kind returns the catalogue's entry.
--- a/pagate/answer.go
+++ b/pagate/answer.go
@@ -117,7 +117,8 @@
 	g.ended(x, status, reason)
 }
 
-// ended logs and counts the end of a request; each refusal and failure, and one in servedSample of the others.
+// ended logs and counts the end of a request; refusals and failures as far as there is room, and one in servedSample
+// of the others.
 func (g *Gate) ended(x *exchange, status int, reason string) {
 	took := g.config.Clock.Since(x.arrived)
 	name := ""
@@ -125,7 +126,12 @@
 		name = x.route.Name
 	}
 	g.meter.request(name, status, reason, took, x.behind)
-	if reason == "" && status < http.StatusInternalServerError && !g.meter.sample() {
+	if reason == "" && status < http.StatusInternalServerError {
+		if !g.meter.sample() {
+			return
+		}
+	} else if !g.ends.take(g.config.Clock.Now()) {
+		g.meter.unlogged.Inc()
 		return
 	}
 	g.record(paevent.RequestEnded{
--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -32,6 +32,8 @@
 	pool   *pool
 	meter  *meter
 	noted  noted
+	// ends bounds the lines on requests that were refused or failed.
+	ends budget
 	// dropped counts log lines that were dropped; nil where nobody counts.
 	dropped *atomic.Uint64
 
@@ -60,6 +62,7 @@
 			Name: s.Name, Zone: s.Zone, Region: s.Region, Front: s.Front, Peers: s.Peers, Born: c.Clock.Now().UnixMilli(),
 		},
 		events:    make(chan event, maxEvents),
+		ends:      budget{rate: endLines, burst: endBurst},
 		announced: make(chan struct{}, 1),
 		steer: pasteer.New(pasteer.Config{
 			Name: s.Name, Zone: s.Zone, Region: s.Region, Regions: s.Regions,
--- a/pagate/meter.go
+++ b/pagate/meter.go
@@ -12,8 +12,7 @@
 	"papayahead/pasteer"
 )
 
-// servedSample is how many requests that were served share one log line; refused and failed ones have
-// one each.
+// servedSample is how many requests that were served share one log line.
 const servedSample = 32
 
 // meter counts what the gate does.
@@ -24,6 +23,7 @@
 	peerCloses  *metrics.Counter
 	shifted     *metrics.Counter
 	held        *metrics.Counter
+	unlogged    *metrics.Counter
 	served      atomic.Uint64
 }
 
@@ -34,6 +34,7 @@
 	m.peerCloses = m.set.NewCounter("papayahead_gate_peer_close_errors_total")
 	m.shifted = m.set.NewCounter("papayahead_gate_shifted_requests_total")
 	m.held = m.set.NewCounter("papayahead_gate_held_requests_total")
+	m.unlogged = m.set.NewCounter("papayahead_gate_requests_unlogged_total")
 	m.set.NewGauge("papayahead_gate_requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	m.set.NewGauge("papayahead_gate_configuration_version", func() float64 { return float64(g.state.Load().configVersion()) })
 	m.set.NewGauge("papayahead_gate_store_age_seconds", func() float64 { return g.config.Clock.Since(g.state.Load().readAt).Seconds() })
--- a/pagate/note.go
+++ b/pagate/note.go
@@ -15,12 +15,34 @@
 	targetGone     = "Gone"
 )
 
+const (
+	// fleetLines and fleetBurst bound the lines on single targets and entry VMs, a second and at once. What is known
+	// at a start, or changes together, is a sum.
+	fleetLines = 10
+	fleetBurst = 100
+	// endLines and endBurst bound the lines on requests that were refused or failed.
+	endLines = 50
+	endBurst = 500
+)
+
 // noted is what the log last said of the deployment. Only the control loop uses it.
 type noted struct {
 	targets map[string]paevent.TargetKnown
 	entries map[string]string
 	// dropped is the number of log lines that were dropped.
 	dropped uint64
+	// lines bounds the lines on single targets and entry VMs; unlisted counts those left out of the next sum.
+	lines    budget
+	unlisted int
+}
+
+// note logs what is known of one target or entry VM if there is room for the line.
+func (g *Gate) note(e paevent.Event, now time.Time) {
+	if g.noted.lines.take(now) {
+		g.record(e)
+		return
+	}
+	g.noted.unlisted++
 }
 
 // noteChanges logs what the process now believes, one line for each change.
@@ -28,20 +50,22 @@
 	if v.Config != nil && v.Config.Version != old.configVersion() {
 		g.record(paevent.ConfigurationInForce{Version: v.Config.Version, Before: old.configVersion(), Revision: uint64(v.ConfigAt)})
 	}
+	if g.noted.targets == nil {
+		// A start: what is known by then counts as known.
+		g.noted.lines = budget{rate: fleetLines, burst: fleetBurst, at: now}
+		g.noted.targets, g.noted.entries = map[string]paevent.TargetKnown{}, map[string]string{}
+	}
 	draining := g.noteTargets(v, now)
-	g.noteEntries(v)
+	g.noteEntries(v, now)
 	g.record(paevent.FleetChanged{
 		Revision: uint64(v.Revision), Targets: len(v.Targets), Draining: draining,
-		Entries: len(v.Entries), EvacuatedZones: len(v.Evacuated),
+		Entries: len(v.Entries), EvacuatedZones: len(v.Evacuated), Unlisted: g.noted.unlisted,
 	})
+	g.noted.unlisted = 0
 }
 
-// noteTargets logs changes of targets and returns how many drain. The first view is logged as a sum only.
+// noteTargets logs changes of targets and returns how many drain.
 func (g *Gate) noteTargets(v *pafleet.View, now time.Time) (draining int) {
-	first := g.noted.targets == nil
-	if first {
-		g.noted.targets = make(map[string]paevent.TargetKnown, len(v.Targets))
-	}
 	for id, m := range v.Targets {
 		e := paevent.TargetKnown{Target: id, Service: m.Service, Zone: m.Zone, State: targetReady, Born: m.Born}
 		switch {
@@ -55,15 +79,13 @@
 			continue
 		}
 		g.noted.targets[id] = e
-		if !first {
-			e.Revision, e.ColdMilliseconds = uint64(m.Revision), max(0, m.ColdUntil.Sub(now)).Milliseconds()
-			g.record(e)
-		}
+		e.Revision, e.ColdMilliseconds = uint64(m.Revision), max(0, m.ColdUntil.Sub(now)).Milliseconds()
+		g.note(e, now)
 	}
 	for id, e := range g.noted.targets {
 		if v.Targets[id] == nil {
 			e.State, e.Revision = targetGone, uint64(v.Revision)
-			g.record(e)
+			g.note(e, now)
 			delete(g.noted.targets, id)
 		}
 	}
@@ -71,20 +93,17 @@
 }
 
 // noteEntries logs changes of the registered entry VMs.
-func (g *Gate) noteEntries(v *pafleet.View) {
-	if g.noted.entries == nil {
-		g.noted.entries = map[string]string{}
-	}
+func (g *Gate) noteEntries(v *pafleet.View, now time.Time) {
 	for name, e := range v.Entries {
 		if _, ok := g.noted.entries[name]; !ok {
 			g.noted.entries[name] = e.Zone
-			g.record(paevent.EntryKnown{Entry: name, Zone: e.Zone, Registered: true})
+			g.note(paevent.EntryKnown{Entry: name, Zone: e.Zone, Registered: true}, now)
 		}
 	}
 	for name, zone := range g.noted.entries {
 		if _, ok := v.Entries[name]; !ok {
 			delete(g.noted.entries, name)
-			g.record(paevent.EntryKnown{Entry: name, Zone: zone})
+			g.note(paevent.EntryKnown{Entry: name, Zone: zone}, now)
 		}
 	}
 }
--- /dev/null
+++ b/pagate/note_test.go
@@ -0,0 +1,68 @@
+package pagate
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rs/zerolog"
+
+	"papayahead/paevent"
+	"papayahead/pafleet"
+)
+
+// A process that starts in a large deployment wrote a line for each target and entry VM.
+func TestAStartIsLoggedAsASum(t *testing.T) {
+	var out bytes.Buffer
+	clock := clockwork.NewFakeClock()
+	r := paevent.NewRecorder(paevent.RecorderConfig{Process: "e", Clock: clock, Log: zerolog.New(&out)})
+	g := New(Config{Settings: Settings{Name: "e"}, Network: unused{}, Clock: clock, Recorder: r})
+	v := &pafleet.View{}
+	var all []pafleet.Change
+	for i := range 1600 {
+		all = append(all, pafleet.TargetSaid{Target: pafleet.Target{ID: fmt.Sprint("t", i), Sequence: 1, Revision: pafleet.Revision(i + 1)}})
+	}
+	for i := range 120 {
+		all = append(all, pafleet.EntrySaid{Entry: pafleet.Entry{Name: fmt.Sprint("e", i), Revision: pafleet.Revision(2000 + i)}})
+	}
+	// Targets register one after the other while the process starts.
+	for i := range 8 {
+		for _, c := range all[i*215 : (i+1)*215] {
+			v.Apply(c, clock.Now())
+		}
+		g.noteChanges(v, &state{}, clock.Now())
+		clock.Advance(100 * time.Millisecond)
+	}
+	if n := strings.Count(out.String(), "\n"); n > 8+fleetLines {
+		t.Errorf("%d lines at a start", n)
+	}
+	clock.Advance(time.Minute)
+	out.Reset()
+	v.Apply(pafleet.TargetGone{ID: "t3", Revision: 3000}, clock.Now())
+	g.noteChanges(v, &state{}, clock.Now())
+	if !strings.Contains(out.String(), `"Target":"t3"`) {
+		t.Errorf("no line on a target that left: %s", out.String())
+	}
+}
+
+// A service is overloaded, and each refusal wrote a line: the log took the processor from requests.
+func TestLinesOnRefusedRequestsAreBounded(t *testing.T) {
+	var out bytes.Buffer
+	clock := clockwork.NewFakeClock()
+	r := paevent.NewRecorder(paevent.RecorderConfig{Process: "e", Clock: clock, Log: zerolog.New(&out)})
+	g := New(Config{Settings: Settings{Name: "e"}, Network: unused{}, Clock: clock, Recorder: r})
+	for range 10 * endBurst {
+		g.ended(&exchange{arrived: clock.Now()}, 503, "Full")
+		clock.Advance(time.Millisecond)
+	}
+	lines := strings.Count(out.String(), "\n")
+	if lines > endBurst+10*endBurst*endLines/1000+1 || lines < endBurst {
+		t.Errorf("%d lines on %d refused requests", lines, 10*endBurst)
+	}
+	if left := g.meter.unlogged.Get(); int(left)+lines != 10*endBurst {
+		t.Errorf("%d lines and %d left out of %d", lines, left, 10*endBurst)
+	}
+}
--- a/pagate/peers.go
+++ b/pagate/peers.go
@@ -34,7 +34,7 @@
 	known map[string]*peer
 	conns map[netip.AddrPort]*peerConn
 	// notes is what may be told of warm objects now.
-	notes noteBudget
+	notes budget
 }
 
 // peer is what calls to a neighbour showed.
@@ -63,7 +63,7 @@
 }
 
 func newPeers(g *Gate) *peers {
-	return &peers{gate: g, known: map[string]*peer{}, conns: map[netip.AddrPort]*peerConn{}}
+	return &peers{gate: g, known: map[string]*peer{}, conns: map[netip.AddrPort]*peerConn{}, notes: budget{rate: noteRate, burst: noteBurst}}
 }
 
 // run calls the neighbours in turn.
--- a/pagate/warm.go
+++ b/pagate/warm.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"papayahead/paevent"
@@ -59,39 +58,13 @@
 }
 
 const (
-	// noteRate is how many notes a second an entry VM tells, to all neighbours together: each takes some
-	// 30 bytes, and control may take 10 KB a second. Where more become known, neighbours hear of them later.
+	// noteRate is how many notes of warm objects an entry VM tells a second, to all neighbours together: each takes
+	// some 30 bytes, and control may take 10 KB a second. Where more become known, neighbours hear of them later.
 	noteRate = 200
 	// noteBurst is how many may be told at once, as after a start.
 	noteBurst = 2048
 )
 
-// noteBudget bounds what is told of warm objects, whatever the fleet, the objects and the churn.
-type noteBudget struct {
-	mutex sync.Mutex
-	left  float64
-	at    time.Time
-}
-
-// available returns how many notes may be told now.
-func (b *noteBudget) available(now time.Time) int {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	if b.at.IsZero() {
-		b.left = noteBurst
-	} else {
-		b.left = min(noteBurst, b.left+noteRate*now.Sub(b.at).Seconds())
-	}
-	b.at = now
-	return int(b.left)
-}
-
-func (b *noteBudget) spend(n int) {
-	b.mutex.Lock()
-	defer b.mutex.Unlock()
-	b.left -= float64(n)
-}
-
 func (p *peers) hearWarm(all []*pawire.WarmNote) {
 	if len(all) == 0 {
 		return
