pasteer: objects that moved are kept in the store before others

Cause: the store keeps 4,096 notes on warm objects; 1,620 targets may have 13,000. What ran over were the oldest, moved or not, though an object that is where its ranking says needs no note.

Change: objects that are not at the first target of their ranking are kept first; what was kept counts as ten seconds old.

--- a/pagate/warm.go
+++ b/pagate/warm.go
@@ -14,8 +14,7 @@
 	// warmPace is how often what is warm is kept in the store. An object moves to another target a few times an
 	// hour on ordinary days; what moved in the last seconds before all entry VMs lose power is run cold once more.
 	warmPace = 5 * time.Second
-	// warmMost is how many objects are kept, the latest: 30 bytes each, less when packed, so that a large
-	// deployment writes a few kilobytes a second.
+	// warmMost is how many objects are kept, those that moved before others: packed, some 8 KB a second.
 	warmMost = 4096
 )
 
@@ -23,7 +22,7 @@
 //
 // Load: all entry VMs lose power at once and come back under full load. Harm prevented: nobody knows which objects
 // had moved from the first target of their ranking, and each of them runs cold once more while callers who
-// were cut off ask again: 99 objects before, 28 now, counted in the logs of a day with such a loss.
+// were cut off ask again.
 func (g *Gate) keepWarm(ctx context.Context) {
 	var kept uint64
 	for g.sleep(ctx, warmPace) {
--- a/pasteer/note.go
+++ b/pasteer/note.go
@@ -77,11 +77,14 @@
 	}
 }
 
+// keptAge is the age that what was kept is taken to have: more than that of what neighbours tell.
+const keptAge = 10 * time.Second
+
 // HearKept takes what was kept of warm objects, which all entry VMs read for themselves.
 func (s *Steer) HearKept(all []pafleet.WarmNote, now time.Time) {
 	for _, n := range all {
 		if t := s.targets[n.Target]; t != nil && n.Object != "" {
-			s.hear(t, n.Object, now.Add(-min(max(0, n.Age), warmLife)))
+			s.hear(t, n.Object, now.Add(-keptAge))
 		}
 	}
 }
--- a/pasteer/shift_test.go
+++ b/pasteer/shift_test.go
@@ -1,6 +1,7 @@
 package pasteer
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -27,3 +28,35 @@
 		t.Errorf("choice %+v, want the target where the object is warm", c)
 	}
 }
+
+// All entry VMs lose power, and more is warm than the store keeps: an object that had moved runs cold again, while
+// others that had not are kept for nothing.
+func TestObjectsThatMovedAreKeptFirst(t *testing.T) {
+	s := newSteer("a1", fleet(2))
+	moved := 0
+	for i := range 40 {
+		q := request(fmt.Sprint(i), begin)
+		home := s.Choose(q, begin).Target
+		if i < 5 {
+			q.Tried = []string{home}
+			home = s.Choose(q, begin).Target
+			moved++
+		}
+		s.Start(Choice{Target: home}, q, begin.Add(time.Duration(i)*time.Millisecond))
+	}
+	notes, _ := s.Warm(2*moved, begin.Add(time.Second))
+	found := 0
+	for _, n := range notes {
+		if s.moved(s.targets[n.Target], n.Object) == 1 {
+			found++
+		}
+	}
+	all, _ := s.Warm(100, begin.Add(time.Second))
+	want := 0
+	for _, n := range all {
+		want += s.moved(s.targets[n.Target], n.Object)
+	}
+	if found != min(want, 2*moved) || found < moved {
+		t.Errorf("%d of %d objects that moved are kept", found, want)
+	}
+}
--- a/pasteer/warm.go
+++ b/pasteer/warm.go
@@ -96,23 +96,27 @@
 	t.warm = warmSet{}
 }
 
-// Warm returns what is warm now at targets that may be used, the latest first, at most a number of notes; and the number of the last note
-// that WarmNotes returns, which grows with each change.
+// Warm returns what is warm now at targets that may be used, at most a number of notes, and the number of the last note
+// that WarmNotes returns, which grows with each change. First come the objects that moved: others are found
+// where they are without a note. Of each kind the latest come first.
 func (s *Steer) Warm(most int, now time.Time) ([]pafleet.WarmNote, uint64) {
 	type seen struct {
-		note pafleet.WarmNote
-		at   time.Time
+		note  pafleet.WarmNote
+		moved int
 	}
 	var all []seen
 	for id, t := range s.targets {
 		for o, at := range t.warm.seen {
-			if !t.closed && now.Sub(at) < warmLife {
-				all = append(all, seen{pafleet.WarmNote{Target: id, Object: o, Age: now.Sub(at)}, at})
+			if age := now.Sub(at); !t.closed && age < warmLife {
+				all = append(all, seen{pafleet.WarmNote{Target: id, Object: o, Age: age}, s.moved(t, o)})
 			}
 		}
 	}
 	slices.SortFunc(all, func(a, b seen) int {
-		return cmp.Or(b.at.Compare(a.at), cmp.Compare(a.note.Target, b.note.Target), cmp.Compare(a.note.Object, b.note.Object))
+		return cmp.Or(
+			cmp.Compare(b.moved, a.moved), cmp.Compare(a.note.Age, b.note.Age),
+			cmp.Compare(a.note.Target, b.note.Target), cmp.Compare(a.note.Object, b.note.Object),
+		)
 	})
 	notes := make([]pafleet.WarmNote, 0, min(most, len(all)))
 	for _, n := range all[:min(most, len(all))] {
@@ -121,6 +125,19 @@
 	return notes, s.notes.last
 }
 
+// moved is 1 where the target is not the first of the object's ranking, and 0 where it is.
+func (s *Steer) moved(t *target, object string) int {
+	g := s.services[t.member.Service]
+	if g == nil {
+		return 0
+	}
+	top := g.ranks.of(hashOf(t.member.Service, object), g.targets)
+	if len(top) > 0 && top[0].target == t {
+		return 0
+	}
+	return 1
+}
+
 // workWeight is the weight of the latest run in the expected time of a route's work.
 const workWeight = 0.2
 
