pasteer: objects that keep targets busy are spread; entry VMs begin the use of targets that joined in turn

Change: a target is the home of as many objects as keep 0.6 of its slots busy at the rate of requests seen, at least a quarter more than the mean; beyond that the first of the ranking in the same region that has room is. Which objects stay is told by their hashes.

Change: they take turns, those of the target's zone first.

--- a/pasteer/cold.go
+++ b/pasteer/cold.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"papayahead/pafleet"
 )
 
@@ -51,10 +53,14 @@
 func (s *Steer) feed(v *pafleet.View) {
 	zones, regions := map[string][]string{}, map[string][]string{}
 	var all []string
+	s.mates = s.mates[:0]
 	for name, e := range v.Entries {
 		if name == s.Config.Name {
 			continue
 		}
+		if e.Region == s.Config.Region {
+			s.mates = append(s.mates, mate{e.Zone, xxhash.Sum64String(name)})
+		}
 		zones[e.Zone] = append(zones[e.Zone], name)
 		regions[e.Region] = append(regions[e.Region], name)
 		all = append(all, name)
--- a/pasteer/note.go
+++ b/pasteer/note.go
@@ -91,11 +91,12 @@
 
 // hear remembers that the target handled the object at a time, and says whether that is news.
 func (s *Steer) hear(t *target, object string, at time.Time) bool {
-	if told, ok := t.warm.told[object]; ok && at.Sub(told) < noteStep {
+	key := hashOf(t.member.Service, object)
+	if told, ok := t.warm.told[key]; ok && at.Sub(told) < noteStep {
 		return false
 	}
-	t.warm.tell(object, at)
-	return s.remember(t, object, at)
+	t.warm.tell(key, at)
+	return s.remember(t, key, object, at)
 }
 
 // noteUse remembers that the target handles the object now, and keeps it for neighbours if it is news.
@@ -103,12 +104,13 @@
 	if object == "" {
 		return
 	}
-	known := t.warm.has(object, now)
-	s.remember(t, object, now)
-	since := now.Sub(t.warm.told[object])
+	key := hashOf(t.member.Service, object)
+	known := t.warm.has(key, now)
+	s.remember(t, key, object, now)
+	since := now.Sub(t.warm.told[key])
 	if since < noteStep || known && since < noteAgain {
 		return
 	}
-	t.warm.tell(object, now)
+	t.warm.tell(key, now)
 	s.notes.add(datedNote{t.member.ID, object, now})
 }
--- a/pasteer/pick.go
+++ b/pasteer/pick.go
@@ -3,46 +3,8 @@
 import (
 	"slices"
 	"time"
-
-	"papayahead/paroute"
 )
 
-const (
-	// homesTime is the time of cold runs that an object's homes may cost one after the other; by it an
-	// object of quick work has more homes, of which one is sooner near, than one of long work.
-	homesTime = 3 * time.Second
-	// homesMost bounds the homes: beyond it the chance of a near one hardly rises.
-	homesMost = 6
-)
-
-// homesOf returns how many targets of the ranking may be an object's home. Its first is, but where that
-// is in another region, the first of them in the own one is. A cold run takes about the target latency.
-func homesOf(r *paroute.Route) int {
-	if r.TargetLatency <= 0 {
-		return homesMost
-	}
-	return max(1, min(homesMost, int((homesTime+r.TargetLatency/2)/r.TargetLatency)))
-}
-
-// mayBeHome says whether an object may run cold at the candidate i: at the first, or at one of the next few
-// that is in the own region where the first is not.
-func mayBeHome(all []candidate, i int, r *paroute.Route) bool {
-	if i == 0 {
-		return true
-	}
-	return i < homesOf(r) && all[i].target.near < nearNone && all[0].target.near == nearNone
-}
-
-// homeOf returns the index of the candidate where an object runs first as long as no target is full.
-func homeOf(all []candidate, r *paroute.Route) int {
-	for i := range all {
-		if all[i].target.near < nearNone && mayBeHome(all, i, r) {
-			return i
-		}
-	}
-	return 0
-}
-
 // usableOf returns the candidates that may get the request now.
 func (s *Steer) usableOf(all []candidate) []candidate {
 	usable := s.scratchUsable[:0]
@@ -74,17 +36,23 @@
 	if held {
 		usable = s.withFirstIn(g, region, usable, q, now)
 	}
-	for i, c := range usable {
+	if q.bound() {
+		usable = s.homes(g, usable, q, now)
+	}
+	for _, c := range usable {
 		shifts := region != "" && c.target.region != region
 		if held && shifts {
 			continue
 		}
-		warm := c.target.warm.has(q.Object, now)
+		warm := c.target.warm.has(q.key(), now)
 		// Where the request is held in its region, the first target there may run the object cold.
-		if q.bound() && !warm && !mayBeHome(usable, i, q.Route) && !(held && best.Target == "") {
+		if q.bound() && !warm && !c.home && !(held && best.Target == "") {
 			continue
 		}
 		e := s.estimate(c.target, q, warm, now)
+		if warm && c.crowded {
+			e.cost += time.Duration(crowdedCost * float64(s.expected(q, false)-s.expected(q, true)))
+		}
 		if best.Target == "" || e.cost < least {
 			least = e.cost
 			best = Choice{
@@ -103,15 +71,15 @@
 // there may run cold at it.
 func (s *Steer) withFirstIn(g *service, region string, usable []candidate, q Request, now time.Time) []candidate {
 	for _, c := range usable {
-		if c.target.region == region && !c.target.warm.has(q.Object, now) {
+		if c.target.region == region && !c.target.warm.has(q.key(), now) {
 			return usable
 		}
 	}
 	t := s.firstIn(g, region, q, now)
-	if t == nil || t.warm.has(q.Object, now) {
+	if t == nil || t.warm.has(q.key(), now) {
 		return usable
 	}
-	usable = append(usable, candidate{ranked{t, rendezvous(q.key(), t.hash)}, true})
+	usable = append(usable, candidate{ranked: ranked{t, rendezvous(q.key(), t.hash)}, usable: true})
 	slices.SortFunc(usable, byRank)
 	return usable
 }
--- a/pasteer/shift.go
+++ b/pasteer/shift.go
@@ -48,7 +48,7 @@
 	home := all[homeOf(all, q.Route)].target
 	if last := s.places.get(q.key()); last != "" {
 		home = s.targets[last]
-	} else if i := slices.IndexFunc(usable, func(c candidate) bool { return c.target.warm.has(q.Object, now) }); i >= 0 {
+	} else if i := slices.IndexFunc(usable, func(c candidate) bool { return c.target.warm.has(q.key(), now) }); i >= 0 {
 		home = usable[i].target
 	}
 	if home == nil || !mayHandle(home, q) {
--- a/pasteer/shift_test.go
+++ b/pasteer/shift_test.go
@@ -47,14 +47,14 @@
 	notes, _ := s.Warm(2*moved, begin.Add(time.Second))
 	found := 0
 	for _, n := range notes {
-		if s.moved(s.targets[n.Target], n.Object) == 1 {
+		if s.moved(s.targets[n.Target], hashOf("s", n.Object)) == 1 {
 			found++
 		}
 	}
 	all, _ := s.Warm(100, begin.Add(time.Second))
 	want := 0
 	for _, n := range all {
-		want += s.moved(s.targets[n.Target], n.Object)
+		want += s.moved(s.targets[n.Target], hashOf("s", n.Object))
 	}
 	if found != min(want, 2*moved) || found < moved {
 		t.Errorf("%d of %d objects that moved are kept", found, want)
--- a/pasteer/shortlist.go
+++ b/pasteer/shortlist.go
@@ -12,6 +12,8 @@
 	// usable says that the target may get the request now; one that does not answer, or is cold and has all
 	// that it bears, may not, but stays the home of its objects.
 	usable bool
+	// home says that the object may run cold there, crowded that the target has enough other objects.
+	home, crowded bool
 }
 
 // shortlist is the targets that a decision weighs.
@@ -86,7 +88,7 @@
 	if !mayHandle(t, q) {
 		return
 	}
-	c := candidate{r, t.reachable(now)}
+	c := candidate{ranked: r, usable: t.reachable(now)}
 	if c.usable && t.isCold(now) && !s.takesCold(t, now) {
 		c.usable, l.cold = false, true
 	}
--- a/pasteer/steer.go
+++ b/pasteer/steer.go
@@ -40,6 +40,8 @@
 	used map[string]bool
 	// warmAt has the targets where an object is taken to be warm, by its key.
 	warmAt map[uint64][]*target
+	// known is how many objects of each service are warm anywhere.
+	known map[string]int
 	// scratch and scratchUsable are kept between decisions, which then allocate nothing.
 	scratch, scratchUsable []candidate
 	// notes is what neighbours are told of warm objects.
@@ -48,6 +50,9 @@
 	startedAt time.Time
 	// entries is how many entry VMs share the retry budget, mostPerZone the most in one availability zone.
 	entries, mostPerZone int
+	// hash is that of the own name, mates are the other entry VMs of the region.
+	hash  uint64
+	mates []mate
 	// feeders has the zones whose cold targets this entry VM sends to.
 	feeders map[string]feeder
 }
@@ -57,11 +62,16 @@
 	settings paroute.Service
 	targets  []*target
 	budget   window
+	// since is when the first request came, slots those of all targets that may be used.
+	since time.Time
+	slots float64
 	// near and regions are the targets by their distance and region, newcomers those that may never have got a request.
 	near      [nearNone + 1][]*target
 	regions   map[string][]*target
-	newcomers []*target
-	ranks     ranks
+	newcomers []newcomer
+	// ranks are the rankings of objects among all targets, regionRanks among those of a region.
+	ranks       ranks
+	regionRanks map[string]*ranks
 	// turn changes with each request that has no object, so that each meets other targets.
 	turn int
 }
@@ -105,8 +115,8 @@
 // New returns a Steer without targets.
 func New(c Config) *Steer {
 	return &Steer{
-		Config: c, targets: map[string]*target{}, services: map[string]*service{},
-		splits: map[string]*paroute.Splitter{}, work: map[string]*workTime{}, used: map[string]bool{}, warmAt: map[uint64][]*target{}, entries: 1, feeders: map[string]feeder{},
+		Config: c, hash: xxhash.Sum64String(c.Name), targets: map[string]*target{}, services: map[string]*service{},
+		splits: map[string]*paroute.Splitter{}, work: map[string]*workTime{}, used: map[string]bool{}, warmAt: map[uint64][]*target{}, known: map[string]int{}, entries: 1, feeders: map[string]feeder{},
 	}
 }
 
@@ -131,7 +141,7 @@
 	}
 	for _, g := range s.services {
 		sortTargets(g.targets)
-		g.sortOut()
+		s.sortOut(g)
 	}
 }
 
@@ -145,7 +155,7 @@
 	for name, settings := range c.Services {
 		g := s.services[name]
 		if g == nil {
-			g = &service{}
+			g = &service{regionRanks: map[string]*ranks{}}
 			s.services[name] = g
 		}
 		g.settings, g.targets = settings, g.targets[:0]
@@ -153,13 +163,16 @@
 }
 
 // sortOut sorts the targets by distance and region.
-func (g *service) sortOut() {
-	g.near, g.regions, g.newcomers = [nearNone + 1][]*target{}, map[string][]*target{}, nil
+func (s *Steer) sortOut(g *service) {
+	g.near, g.regions, g.newcomers, g.slots = [nearNone + 1][]*target{}, map[string][]*target{}, nil, 0
 	for _, t := range g.targets {
+		if !t.closed {
+			g.slots += t.slots()
+		}
 		g.near[t.near] = append(g.near[t.near], t)
 		g.regions[t.region] = append(g.regions[t.region], t)
 		if !t.joinedAt.IsZero() && !t.used && t.near < nearNone {
-			g.newcomers = append(g.newcomers, t)
+			g.newcomers = append(g.newcomers, s.newcomerOf(t))
 		}
 	}
 }
@@ -169,13 +182,16 @@
 	s.forget(t)
 	if g := s.services[t.member.Service]; g != nil {
 		g.ranks.leave(t)
+		if r := g.regionRanks[t.region]; r != nil {
+			r.leave(t)
+		}
 	}
 	delete(s.targets, t.member.ID)
 }
 
 func (s *Steer) updateTarget(id string, m *pafleet.Member, v *pafleet.View, now time.Time) {
 	t := s.targets[id]
-	if t == nil || t.member.Born != m.Born || t.member.Address != m.Address || t.member.Service != m.Service {
+	if t == nil || t.member.Born != m.Born || t.member.Address != m.Address || t.member.Service != m.Service || t.member.Zone != m.Zone {
 		if t != nil {
 			s.remove(t)
 		}
@@ -183,7 +199,6 @@
 	}
 	wasCold := t.isCold(now)
 	t.member = *m
-	t.region = s.Config.Regions[m.Zone]
 	t.near = s.distance(m.Zone, t.region)
 	_, evacuated := v.Evacuated[m.Zone]
 	t.closed = m.Draining || evacuated
@@ -202,13 +217,16 @@
 
 // add begins with a lifetime of a target.
 func (s *Steer) add(id string, m *pafleet.Member, now time.Time) *target {
-	t := &target{hash: xxhash.Sum64String(id)}
+	t := &target{hash: xxhash.Sum64String(id), region: s.Config.Regions[m.Zone]}
 	s.targets[id] = t
 	if s.used[m.Service] {
 		t.joinedAt = now
 	}
 	if g := s.services[m.Service]; g != nil {
 		g.ranks.join(t)
+		if r := g.regionRanks[t.region]; r != nil {
+			r.join(t)
+		}
 	}
 	return t
 }
--- a/pasteer/warm.go
+++ b/pasteer/warm.go
@@ -15,83 +15,94 @@
 	warmLife = 30 * time.Second
 )
 
-// warmSet is the objects that a target handled last. The zero value is ready.
+// warmSet is the objects that a target handled last, by their keys. The zero value is ready.
 type warmSet struct {
 	// seen is when each of them was handled last, as far as is known.
-	seen map[string]time.Time
+	seen map[uint64]use
 	// told is the time of the latest note on an object. It outlives seen, so that a late note is no news.
-	told map[string]time.Time
+	told map[uint64]time.Time
 }
 
-func (w *warmSet) has(object string, now time.Time) bool {
-	at, ok := w.seen[object]
-	return ok && now.Sub(at) < warmLife
+// use is the last time that a target handled an object.
+type use struct {
+	object string
+	at     time.Time
 }
 
-// put remembers the object as one of those that were handled last, and returns the one that is pushed out for it.
-func (w *warmSet) put(object string, at time.Time) (out string) {
+func (w *warmSet) has(key uint64, now time.Time) bool {
+	u, ok := w.seen[key]
+	return ok && now.Sub(u.at) < warmLife
+}
+
+// put remembers the object as one of those that were handled last, and returns the key of the one that is pushed out
+// for it, or 0.
+func (w *warmSet) put(key uint64, object string, at time.Time) (out uint64) {
 	if w.seen == nil {
-		w.seen = map[string]time.Time{}
+		w.seen = map[uint64]use{}
 	}
-	w.seen[object] = later(w.seen[object], at)
+	w.seen[key] = use{object, later(w.seen[key].at, at)}
 	if len(w.seen) <= warmMost {
-		return ""
+		return 0
+	}
+	out = key
+	for k, u := range w.seen {
+		if u.at.Before(w.seen[out].at) {
+			out = k
+		}
 	}
-	out = oldest(w.seen)
 	delete(w.seen, out)
 	return out
 }
 
-func (w *warmSet) tell(object string, at time.Time) {
+func (w *warmSet) tell(key uint64, at time.Time) {
 	if w.told == nil {
-		w.told = map[string]time.Time{}
+		w.told = map[uint64]time.Time{}
 	}
-	w.told[object] = at
-	if len(w.told) > toldMost {
-		delete(w.told, oldest(w.told))
+	w.told[key] = at
+	if len(w.told) <= toldMost {
+		return
 	}
-}
-
-func oldest(all map[string]time.Time) string {
-	first, found := "", false
-	for o, at := range all {
-		if !found || at.Before(all[first]) {
-			first, found = o, true
+	out := key
+	for k, u := range w.told {
+		if u.Before(w.told[out]) {
+			out = k
 		}
 	}
-	return first
+	delete(w.told, out)
 }
 
 // remember notes that the target handled the object at a time, and says whether it is one of those handled last.
-func (s *Steer) remember(t *target, object string, at time.Time) bool {
-	_, known := t.warm.seen[object]
-	out := t.warm.put(object, at)
-	if out == object {
+func (s *Steer) remember(t *target, key uint64, object string, at time.Time) bool {
+	_, known := t.warm.seen[key]
+	out := t.warm.put(key, object, at)
+	if out == key {
 		return false
 	}
-	if out != "" {
+	if out != 0 {
 		s.unindex(t, out)
 	}
 	if !known {
-		k := hashOf(t.member.Service, object)
-		s.warmAt[k] = append(s.warmAt[k], t)
+		if len(s.warmAt[key]) == 0 {
+			s.known[t.member.Service]++
+		}
+		s.warmAt[key] = append(s.warmAt[key], t)
 	}
 	return true
 }
 
 // unindex notes that the target no longer is one where the object is warm.
-func (s *Steer) unindex(t *target, object string) {
-	k := hashOf(t.member.Service, object)
-	all := slices.DeleteFunc(s.warmAt[k], func(o *target) bool { return o == t })
-	if s.warmAt[k] = all; len(all) == 0 {
-		delete(s.warmAt, k)
+func (s *Steer) unindex(t *target, key uint64) {
+	all := slices.DeleteFunc(s.warmAt[key], func(o *target) bool { return o == t })
+	if s.warmAt[key] = all; len(all) == 0 {
+		s.known[t.member.Service]--
+		delete(s.warmAt, key)
 	}
 }
 
 // forget drops what is known of warm objects at a target.
 func (s *Steer) forget(t *target) {
-	for o := range t.warm.seen {
-		s.unindex(t, o)
+	for key := range t.warm.seen {
+		s.unindex(t, key)
 	}
 	t.warm = warmSet{}
 }
@@ -106,9 +117,9 @@
 	}
 	var all []seen
 	for id, t := range s.targets {
-		for o, at := range t.warm.seen {
-			if age := now.Sub(at); !t.closed && age < warmLife {
-				all = append(all, seen{pafleet.WarmNote{Target: id, Object: o, Age: age}, s.moved(t, o)})
+		for key, u := range t.warm.seen {
+			if age := now.Sub(u.at); !t.closed && age < warmLife {
+				all = append(all, seen{pafleet.WarmNote{Target: id, Object: u.object, Age: age}, s.moved(t, key)})
 			}
 		}
 	}
@@ -126,12 +137,12 @@
 }
 
 // moved is 1 where the target is not the first of the object's ranking, and 0 where it is.
-func (s *Steer) moved(t *target, object string) int {
+func (s *Steer) moved(t *target, key uint64) int {
 	g := s.services[t.member.Service]
 	if g == nil {
 		return 0
 	}
-	top := g.ranks.of(hashOf(t.member.Service, object), g.targets)
+	top := g.ranks.of(key, g.targets)
 	if len(top) > 0 && top[0].target == t {
 		return 0
 	}
