pagate, platform: fewer calls to the store

After the loss of power: four calls for each registration, as that of the former lifetime still stands.

Change: a reader that waited in vain watches on at once, and after a pause it waits that much shorter; entry VMs take the readers' place one after the other, by their rank, up to shortly before a target that drains must be known; their pauses grow while the store fails; a refused write tells where the key is now; at the first start of a deployment others than the seeds wait for a neighbour to tell.

--- a/pagate/config.go
+++ b/pagate/config.go
@@ -29,6 +29,10 @@
 	Store string
 	// Grace is how long after SIGTERM the process is killed.
 	Grace time.Duration
+	// DrainTime is how long a target serves on after it said that it leaves.
+	DrainTime time.Duration
+	// FirstStart says that the whole deployment starts for the first time.
+	FirstStart bool
 	// LookUpLife is the longest time that callers keep the answer of a look-up.
 	LookUpLife time.Duration
 	// RetryRatio, RetryWindow and RetryFloor bound further attempts; see pasteer.Config.
--- a/pagate/directory.go
+++ b/pagate/directory.go
@@ -100,15 +100,25 @@
 	return all
 }
 
-// readers returns the entry VMs that read the store for all.
-func (g *Gate) readers(s *state) []pafleet.Entry {
+// byHash returns the entry VMs that run as far as is known in the order of hashes: the first of them read the store.
+func (g *Gate) byHash(s *state) []pafleet.Entry {
 	all := g.live(s)
 	slices.SortFunc(all, func(a, b pafleet.Entry) int {
 		return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
 	})
+	return all
+}
+
+// readers returns the entry VMs that read the store for all.
+func (g *Gate) readers(s *state) []pafleet.Entry {
+	all := g.byHash(s)
 	return all[:min(max(readers, len(all)/entriesPerReader), len(all))]
 }
 
+func (g *Gate) isReader() bool {
+	return slices.ContainsFunc(g.readers(g.state.Load()), func(e pafleet.Entry) bool { return e.Name == g.self.Name })
+}
+
 // nearestReader returns another reader, one of the own region before others, or else any other entry VM.
 // One is enough to keep up, and each further one costs bytes between regions. A reader asks one too: the
 // store may refuse it and serve the others.
--- a/pagate/follow.go
+++ b/pagate/follow.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -12,16 +13,17 @@
 )
 
 const (
-	// readPace is the time between two readings of the store: changes that come together, as in a
-	// roll-out of targets, share one call. Bound: a target that drains gets nothing 2.5 s after the
-	// store took its word, of which a reading by a neighbour takes another syncPace.
+	// readPace is the least time between two readings of the store: changes that come together, as in a
+	// roll-out of targets, share one call.
 	readPace = 600 * time.Millisecond
-	// maxAge is the age of what is known at which an entry VM reads the store by itself, because its
-	// neighbours that should have done so did not.
-	maxAge = watchTime + readPace + syncPace + 100*time.Millisecond
-	// watchTime is how long a watch waits for a change. A waiting watch costs one call however long it
-	// is, but one whose connection went silent hears nothing for that time.
+	// watchTime is how long the store is known to have had no change at the most: a watch that waits costs one call
+	// however long it is, but one whose connection went silent hears nothing for that time.
 	watchTime = time.Second
+	// maxAge is the age of what is known at which neighbours are asked for more, and the first of them reads the store
+	// in the place of those that should have: a watch, a call by which a neighbour asks, and the ways of both.
+	maxAge = watchTime + syncPace + 300*time.Millisecond
+	// latestMargin is how long before a target that drains must get nothing more the last entry VM reads by itself.
+	latestMargin = 300 * time.Millisecond
 	// storeTimeout bounds a call; the store answers in 4 ms, and a silent connection shows no error.
 	storeTimeout = watchTime + 500*time.Millisecond
 	// readers is how many entry VMs read the store for all, at the least, and entriesPerReader how many ask one
@@ -38,17 +40,18 @@
 // follow keeps up with the store.
 func (g *Gate) follow(ctx context.Context) {
 	var lostAt time.Time
-	whole := true
+	whole := !g.toldAtFirst(ctx)
+	wait, fails := watchTime, 0
 	for ctx.Err() == nil {
 		if !whole && !g.dutyToRead() {
 			g.sleep(ctx, readPace/4)
 			continue
 		}
-		err := g.read(ctx, whole)
+		changed, err := g.read(ctx, whole, wait)
 		now := g.config.Clock.Now()
 		switch {
 		case err == nil:
-			whole = false
+			whole, fails = false, 0
 			if !lostAt.IsZero() {
 				g.record(paevent.StoreReachable{OutageMilliseconds: now.Sub(lostAt).Milliseconds()})
 				lostAt = time.Time{}
@@ -57,6 +60,7 @@
 			whole = true
 			continue
 		default:
+			fails++
 			if paplatform.FaultOf(err) != paplatform.Limited {
 				g.post(ctx, storeFailed{at: now})
 			}
@@ -65,49 +69,91 @@
 				g.record(paevent.StoreUnreachable{Reason: err.Error()})
 			}
 		}
-		g.sleep(ctx, readPace)
+		wait = watchTime
+		if changed || err != nil {
+			g.sleep(ctx, g.pause(fails))
+			wait = watchTime - readPace
+		}
+	}
+}
+
+// pause is the time to the next reading of the store after a number of failures.
+//
+// Load: the store is away, and a hundred entry VMs find what they know too old. Harm prevented: each asks it again
+// twice a second. The readers do; for the others it is enough to ask before a target that drains must be known.
+func (g *Gate) pause(fails int) time.Duration {
+	if g.isReader() {
+		return readPace
+	}
+	most := max(readPace, g.config.Settings.DrainTime/2)
+	return min(most, readPace*time.Duration(1+fails))
+}
+
+// firstPatience is how long a process waits at the first start of a deployment for a neighbour to tell what the
+// store holds, which is next to nothing.
+const firstPatience = 2 * time.Second
+
+// toldAtFirst waits at the first start of a deployment for a neighbour to tell what the store holds, and says whether
+// one did. Entry VMs that others ask at a start do not wait.
+func (g *Gate) toldAtFirst(ctx context.Context) bool {
+	s := g.config.Settings
+	if !s.FirstStart || len(s.Seeds) == 0 || slices.Contains(s.Seeds, s.Peers) {
+		return false
+	}
+	until := g.config.Clock.Now().Add(firstPatience)
+	for g.config.Clock.Now().Before(until) && g.sleep(ctx, readPace/4) {
+		if !g.state.Load().readAt.IsZero() {
+			return true
+		}
 	}
+	return false
 }
 
 // dutyToRead says whether this entry VM reads the store now: as one of those that do so for all, or
 // because what it heard from them is too old.
 func (g *Gate) dutyToRead() bool {
 	s := g.state.Load()
-	if g.config.Clock.Since(s.readAt) > maxAge {
+	if g.isReader() {
 		return true
 	}
-	for _, e := range g.readers(s) {
-		if e.Name == g.self.Name {
-			return true
-		}
-	}
-	return false
+	all := g.byHash(s)
+	rank := slices.IndexFunc(all, func(e pafleet.Entry) bool { return e.Name == g.self.Name })
+	return g.config.Clock.Since(s.readAt) > staleAfter(rank, len(all), g.config.Settings.DrainTime)
+}
+
+// staleAfter returns the age of what is known at which the entry VM with a rank among n reads the store by itself.
+//
+// Load: the readers are gone or cut off, and a hundred entry VMs find what they know too old at the same moment. Harm
+// prevented: all of them read the store at once. They come one after the other, and most have heard of what the
+// first ones read before their turn; the last one's is before a target that drains must be known.
+func staleAfter(rank, n int, drain time.Duration) time.Duration {
+	last := max(maxAge, drain-latestMargin)
+	return maxAge + (last-maxAge)*time.Duration(rank)/time.Duration(max(1, n))
 }
 
-// read reads the store once.
-func (g *Gate) read(ctx context.Context, whole bool) error {
+// read reads the store once, waiting for a change if it is no whole reading, and says whether there was one.
+func (g *Gate) read(ctx context.Context, whole bool, wait time.Duration) (changed bool, err error) {
 	at := g.config.Clock.Now()
 	ctx, cancel := g.withTimeout(ctx, storeTimeout)
 	defer cancel()
 	var all []pafleet.Change
 	var r pafleet.Revision
-	var err error
 	if whole {
 		g.meter.storeCall("List")
 		all, r, err = g.config.Registry.List(ctx)
 	} else {
 		g.meter.storeCall("Watch")
-		all, r, err = g.config.Registry.Watch(ctx, g.state.Load().revision, watchTime)
+		all, r, err = g.config.Registry.Watch(ctx, g.state.Load().revision, wait)
 	}
 	if err != nil {
-		return trace.Wrap(err)
+		return false, trace.Wrap(err)
 	}
-	if !whole && len(all) == 0 && g.config.Clock.Since(at) >= watchTime {
+	if !whole && len(all) == 0 && g.config.Clock.Since(at) >= wait {
 		// Nothing had changed when the watch ended.
-		at = at.Add(watchTime)
+		at = at.Add(wait)
 	}
 	g.post(ctx, storeRead{changes: all, revision: r, whole: whole, at: at})
-	return nil
+	return whole || len(all) > 0, nil
 }
 
 // announce keeps the registration in the store.
--- a/paplatform/error.go
+++ b/paplatform/error.go
@@ -44,6 +44,9 @@
 	// Key is the key or other name that the call was for.
 	Key    Key    `json:",omitempty"`
 	Detail string `json:",omitempty"`
+	// Current is the revision at which the key is, of a Conflict; nil where the store did not tell, and 0 where there
+	// is no such key.
+	Current *Revision `json:",omitempty"`
 }
 
 // Error says what failed, where and why.
--- a/pasteer/home.go
+++ b/pasteer/home.go
@@ -56,7 +56,7 @@
 }
 
 // rateLeast is the time before which the requests that came say nothing of their rate.
-const rateLeast = time.Second
+const rateLeast = 5 * time.Second
 
 // crowded says whether the target is the home of enough other objects.
 //
