--- a/pagate/config.go
+++ b/pagate/config.go
@@ -13,6 +13,7 @@
 	"papayahead/paevent"
 	"papayahead/pafleet"
 	"papayahead/paplatform"
+	"papayahead/pasteer"
 )
 
 // Settings is the checked settings of an entry VM.
@@ -102,6 +103,8 @@
 	Clock    clockwork.Clock
 	Random   *rand.Rand
 	Recorder *paevent.Recorder
+	// Off are the mechanisms of the steering that are switched off.
+	Off pasteer.Off
 	// Version is the program's version, for the log.
 	Version string
 }
--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -70,7 +70,7 @@
 		announced: make(chan struct{}, 1),
 		steer: pasteer.New(pasteer.Config{
 			Name: s.Name, Zone: s.Zone, Region: s.Region, Regions: s.Regions,
-			RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow, RetryFloor: s.RetryFloor, MaxShift: s.MaxShift,
+			RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow, RetryFloor: s.RetryFloor, MaxShift: s.MaxShift, Off: c.Off,
 		}),
 	}
 	g.ending, g.end = context.WithCancel(context.Background())
--- a/papayahead/gate.go
+++ b/papayahead/gate.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -23,6 +24,7 @@
 	"papayahead/paevent"
 	"papayahead/pagate"
 	"papayahead/paplatform"
+	"papayahead/pasteer"
 	"papayahead/platform"
 )
 
@@ -39,14 +41,23 @@
 
 func gateCommand() *cli.Command {
 	return &cli.Command{
-		Name:   "gate",
-		Usage:  "run the daemon of an entry VM on the platform",
-		Flags:  []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "path of the settings file", Sources: cli.EnvVars(platform.SettingsVariable)}},
-		Action: func(ctx context.Context, c *cli.Command) error { return runGate(ctx, c.String("settings")) },
+		Name:  "gate",
+		Usage: "run the daemon of an entry VM on the platform",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "settings", Usage: "path of the settings file", Sources: cli.EnvVars(platform.SettingsVariable)},
+			&cli.StringFlag{Name: "off", Usage: "mechanisms of the steering to switch off for a measurement: " + strings.Join(pasteer.Mechanisms(), ", ")},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			off, err := pasteer.ParseOff(c.String("off"))
+			if err != nil {
+				return trace.Wrap(err)
+			}
+			return runGate(ctx, c.String("settings"), off)
+		},
 	}
 }
 
-func runGate(ctx context.Context, path string) error {
+func runGate(ctx context.Context, path string, off pasteer.Off) error {
 	hangup := hangups()
 	clock := clockwork.NewRealClock()
 	var dropped atomic.Uint64
@@ -79,7 +90,7 @@
 			},
 		},
 		Network: network, Clock: clock, Random: rand.New(rand.NewPCG(seed, uint64(os.Getpid()))),
-		Recorder: recorder, Version: Version,
+		Recorder: recorder, Version: Version, Off: off,
 	})
 	g.CountDroppedLines(&dropped)
 	serveMetrics(set, g, recorder)
--- a/pasteer/admit.go
+++ b/pasteer/admit.go
@@ -15,7 +15,7 @@
 		return false
 	}
 	t := s.targets[c.Target]
-	return now.Add(c.finish).After(q.Deadline) || t.standing(now, q.Route) && s.lateBehind(t, q, c, now)
+	return now.Add(c.finish).After(q.Deadline) || !s.Config.Off.StandingQueues && t.standing(now, q.Route) && s.lateBehind(t, q, c, now)
 }
 
 // standing says that the target has had no free slot for longer than a burst lasts.
--- a/pasteer/budget.go
+++ b/pasteer/budget.go
@@ -56,7 +56,7 @@
 	}
 	first, further := g.budget.sums(now, s.Config.RetryWindow)
 	most := budgetShare * (s.Config.RetryRatio*float64(first) + s.Config.RetryFloor/float64(s.entries))
-	if float64(further+1) > most {
+	if s.Config.Off.SecondSends || float64(further+1) > most && !s.Config.Off.RetryBudget {
 		return false
 	}
 	g.budget.further[g.budget.slot(now, s.Config.RetryWindow)]++
--- a/pasteer/choose.go
+++ b/pasteer/choose.go
@@ -112,8 +112,8 @@
 func (q Request) bound() bool { return q.Route.Affinity && q.Object != "" }
 
 // reachable says that the target is not left alone after failures or silence.
-func (t *target) reachable(now time.Time) bool {
-	return !now.Before(t.downUntil) && (!t.silent(now) || !now.Before(t.tryAt))
+func (s *Steer) reachable(t *target, now time.Time) bool {
+	return !now.Before(t.downUntil) && (s.Config.Off.SilentTargets || !t.silent(now) || !now.Before(t.tryAt))
 }
 
 // hashOf is the hash of two names.
--- a/pasteer/home.go
+++ b/pasteer/home.go
@@ -25,7 +25,10 @@
 
 // homesOf returns how many targets of the ranking may be an object's home. Its first is, but where that
 // is in another region, the first of them in the own one is. A cold run takes about the target latency.
-func homesOf(r *paroute.Route) int {
+func (s *Steer) homesOf(r *paroute.Route) int {
+	if s.Config.Off.FurtherHomes {
+		return 1
+	}
 	if r.TargetLatency <= 0 {
 		return homesMost
 	}
@@ -36,7 +39,7 @@
 func (s *Steer) homeRoom(g *service, q Request, now time.Time) float64 {
 	objects := float64(max(1, s.known[q.Service]))
 	busy := s.rate(g, now) * s.expected(q, true).Seconds() / objects
-	if busy <= 0 {
+	if busy <= 0 || s.Config.Off.SpreadHomes {
 		return math.MaxInt32
 	}
 	return max(homeFill/busy, homeShare*objects/max(1, g.slots))
@@ -79,17 +82,17 @@
 
 // mayBeHome says whether an object may run cold at the candidate i: at the first, or at one of the next few
 // that is in the own region where the first is not.
-func mayBeHome(all []candidate, i int, r *paroute.Route) bool {
+func (s *Steer) mayBeHome(all []candidate, i int, r *paroute.Route) bool {
 	if i == 0 {
 		return true
 	}
-	return i < homesOf(r) && all[i].target.near < nearNone && all[0].target.near == nearNone
+	return i < s.homesOf(r) && all[i].target.near < nearNone && all[0].target.near == nearNone
 }
 
 // homeOf returns the index of the candidate where an object runs first as long as no target is full.
-func homeOf(all []candidate, r *paroute.Route) int {
+func (s *Steer) homeOf(all []candidate, r *paroute.Route) int {
 	for i := range all {
-		if all[i].target.near < nearNone && mayBeHome(all, i, r) {
+		if all[i].target.near < nearNone && s.mayBeHome(all, i, r) {
 			return i
 		}
 	}
@@ -102,7 +105,7 @@
 	room := s.homeRoom(g, q, now)
 	for i := range all {
 		c := &all[i]
-		c.home = mayBeHome(all, i, q.Route)
+		c.home = s.mayBeHome(all, i, q.Route) || s.Config.Off.WarmWait
 		if c.home || c.target.warm.has(q.key(), now) {
 			c.crowded = c.target.crowded(q, room)
 		}
--- a/pasteer/newcomer.go
+++ b/pasteer/newcomer.go
@@ -26,6 +26,9 @@
 // One cold run begins their use; the objects whose first home they are then stay there. The entry VMs take turns:
 // where each of a hundred began the use of each of a hundred targets, all that they sent for seconds ran cold.
 func (s *Steer) newcomer(g *service, all []candidate, q Request, now time.Time) *target {
+	if s.Config.Off.Newcomers {
+		return nil
+	}
 	for _, n := range g.newcomers {
 		t, here := n.target, now.Sub(n.target.joinedAt)-n.wait
 		if t.used || here <= newcomerAfter || !s.mayTake(t, q, now) {
--- a/pasteer/note.go
+++ b/pasteer/note.go
@@ -64,6 +64,9 @@
 // Load: more objects than targets keep warm, so that notes are many. Harm prevented: a note that came late, on an
 // object that was pushed out meanwhile, was news again, and went round among neighbours without end.
 func (s *Steer) HearWarm(all []pafleet.WarmNote, now time.Time) {
+	if s.Config.Off.Notes {
+		return
+	}
 	for _, n := range all {
 		t := s.targets[n.Target]
 		if t == nil || n.Object == "" {
@@ -82,6 +85,9 @@
 
 // HearKept takes what was kept of warm objects, which all entry VMs read for themselves.
 func (s *Steer) HearKept(all []pafleet.WarmNote, now time.Time) {
+	if s.Config.Off.KeptNotes {
+		return
+	}
 	for _, n := range all {
 		if t := s.targets[n.Target]; t != nil && n.Object != "" {
 			s.hear(t, n.Object, now.Add(-keptAge))
--- a/pasteer/pick.go
+++ b/pasteer/pick.go
@@ -98,7 +98,7 @@
 func (s *Steer) estimate(t *target, q Request, warm bool, now time.Time) estimate {
 	load := t.load(now)
 	e := estimate{load: load / t.slots()}
-	if t.errors > greyErrors {
+	if t.errors > greyErrors && !s.Config.Off.GreyTargets {
 		e.load += greyPenalty
 	}
 	work := s.expected(q, true)
--- a/pasteer/shift.go
+++ b/pasteer/shift.go
@@ -45,7 +45,7 @@
 	if !q.bound() || len(q.Tried) > 0 {
 		return ""
 	}
-	home := all[homeOf(all, q.Route)].target
+	home := all[s.homeOf(all, q.Route)].target
 	if last := s.places.get(q.key()); last != "" {
 		home = s.targets[last]
 	} else if i := slices.IndexFunc(usable, func(c candidate) bool { return c.target.warm.has(q.key(), now) }); i >= 0 {
@@ -67,7 +67,7 @@
 // and each object that moves runs cold there first. What does not fit waits or is refused, and moves at the
 // pace that the platform allows.
 func (s *Steer) mayShift(now time.Time) bool {
-	if s.Config.MaxShift <= 0 {
+	if s.Config.MaxShift <= 0 || s.Config.Off.ShiftBound {
 		return true
 	}
 	requests, shifted := s.shifts.sums(now, shiftWindow)
--- a/pasteer/shortlist.go
+++ b/pasteer/shortlist.go
@@ -88,7 +88,7 @@
 	if !mayHandle(t, q) {
 		return
 	}
-	c := candidate{ranked: r, usable: t.reachable(now)}
+	c := candidate{ranked: r, usable: s.reachable(t, now)}
 	if c.usable && t.isCold(now) && !s.takesCold(t, now) {
 		c.usable, l.cold = false, true
 	}
@@ -105,12 +105,12 @@
 
 // takesCold says whether this entry VM may send a request to the cold target now.
 func (s *Steer) takesCold(t *target, now time.Time) bool {
-	return !now.Before(t.cold.full) && s.coldRate(t, now) > 0
+	return s.Config.Off.ColdShares || !now.Before(t.cold.full) && s.coldRate(t, now) > 0
 }
 
 // mayTake says whether the target may get the request now.
 func (s *Steer) mayTake(t *target, q Request, now time.Time) bool {
-	return mayHandle(t, q) && t.reachable(now) && (!t.isCold(now) || s.takesCold(t, now))
+	return mayHandle(t, q) && s.reachable(t, now) && (!t.isCold(now) || s.takesCold(t, now))
 }
 
 // firstIn returns the first target of the ranking in a region that may get the request now, or nil.
--- a/pasteer/steer.go
+++ b/pasteer/steer.go
@@ -23,6 +23,8 @@
 	RetryFloor  float64
 	// MaxShift is the most of a region's requests that may change their region within two seconds; 0 is no limit.
 	MaxShift float64
+	// Off are the mechanisms that are switched off.
+	Off Off
 }
 
 // Steer is the state of the decisions of one entry VM.
