--- a/palane/fuzz_test.go
+++ b/palane/fuzz_test.go
@@ -86,6 +86,12 @@
 		"GET / HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 13<<10) + "\r\n\r\n" + get("/b"),
 		get("/1") + "GET /half HT",
 		"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 99\r\n\r\nhalf",
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, gzip\r\n\r\n0\r\n\r\n" + get("/b"),
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n0\r\n\r\n" + get("/b"),
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: identity\r\n\r\n" + get("/b"),
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + get("/b"),
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding:\x0bchunked\r\n\r\n0\r\n\r\n" + get("/b"),
+		"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3;x=y\r\nabc\r\n00\r\nT: u\r\n\r\n" + get("/b") + "GET /ha",
 	} {
 		f.Add([]byte(seed), 1<<16)
 		f.Add([]byte(seed), 7)
@@ -104,3 +110,35 @@
 		})
 	})
 }
+
+// twoLengthsHeads are the orders and spellings of a head that names both a length and a coding.
+func twoLengthsHeads() []string {
+	lengths := []string{"Content-Length: 4", "content-length:4", "CONTENT-LENGTH: \t4 ", "Content-Length: 4\r\nContent-Length: 4"}
+	codings := []string{"Transfer-Encoding: chunked", "transfer-encoding:chunked", "TRANSFER-ENCODING: \tChunked ", "Transfer-Encoding: chunked\r\nX: y"}
+	var all []string
+	for _, l := range lengths {
+		for _, c := range codings {
+			all = append(all, l+"\r\n"+c, c+"\r\n"+l, c+"\r\nX-Between: 1\r\n"+l)
+		}
+	}
+	return all
+}
+
+// A caller hides a request behind two lengths, in some order and spelling that one reader takes and another does not.
+func TestNothingRunsBehindTwoLengths(t *testing.T) {
+	for _, lengths := range twoLengthsHeads() {
+		for _, before := range []string{"", get("/1")} {
+			sent := before + "POST /two HTTP/1.1\r\nHost: h\r\n" + lengths + "\r\n\r\n0\r\n\r\n" + get("/hidden")
+			synctest.Test(t, func(t *testing.T) {
+				r := newFront(t, echo)
+				got := talk(r.caller, []byte(sent), 1<<16)
+				if strings.Contains(got, "/hidden") || strings.Contains(got, "/two") {
+					t.Errorf("%q was answered by %q", sent, got)
+				}
+				if !strings.Contains(got, "400 Bad Request") {
+					t.Errorf("%q was not refused: %q", sent, got)
+				}
+			})
+		}
+	}
+}
