--- a/pasteer/admit.go
+++ b/pasteer/admit.go
@@ -44,8 +44,6 @@
 
 // standingAfter is how many target latencies a queue may last: cold runs at the start of a day and a
 // burst of some seconds are over by then, and refusing earlier loses answers that callers still take.
-// Answers in time at three times what the targets bear: 0.01 of all without the limit, 0.12 with it, by
-// TestSaturationIsRefusedAtOnce.
 const standingAfter = 8
 
 // queueMost is the load over slots beyond which a target sheds: three waiting for each slot.
--- a/pasteer/budget.go
+++ b/pasteer/budget.go
@@ -38,9 +38,6 @@
 
 // countFirst counts a request for the service.
 func (s *Steer) countFirst(g *service, now time.Time) {
-	if g.since.IsZero() {
-		g.since = now
-	}
 	g.budget.first[g.budget.slot(now, s.Config.RetryWindow)]++
 }
 
--- a/pasteer/choose.go
+++ b/pasteer/choose.go
@@ -61,8 +61,8 @@
 	ReasonCold Reason = "Cold"
 )
 
-// The times to come back where nothing better is known. Source: a new target is known within a
-// heartbeat of 1.5 s; a cold one bears another request within half a second.
+// The times to come back where nothing better is known: a new target is known within a heartbeat, and a cold one
+// bears another request within half a second.
 const (
 	comeBackNoTarget = 700 * time.Millisecond
 	comeBackCold     = 400 * time.Millisecond
--- a/pasteer/off.go
+++ b/pasteer/off.go
@@ -11,8 +11,6 @@
 type Off struct {
 	// FurtherHomes leaves an object only the first target of its ranking to run cold at.
 	FurtherHomes bool
-	// SpreadHomes lets a target be the home of any number of objects.
-	SpreadHomes bool
 	// WarmWait lets an object run cold anywhere that seems quicker than waiting where it is warm.
 	WarmWait bool
 	// Notes ignores what neighbours tell of warm objects, KeptNotes what the store kept of them.
--- a/pasteer/pick.go
+++ b/pasteer/pick.go
@@ -36,23 +36,17 @@
 	if held {
 		usable = s.withFirstIn(g, region, usable, q, now)
 	}
-	if q.bound() {
-		usable = s.homes(g, usable, q, now)
-	}
-	for _, c := range usable {
+	for i, c := range usable {
 		shifts := region != "" && c.target.region != region
 		if held && shifts {
 			continue
 		}
 		warm := c.target.warm.has(q.key(), now)
 		// Where the request is held in its region, the first target there may run the object cold.
-		if q.bound() && !warm && !c.home && !(held && best.Target == "") {
+		if q.bound() && !warm && !s.Config.Off.WarmWait && !s.mayBeHome(usable, i, q.Route) && !(held && best.Target == "") {
 			continue
 		}
 		e := s.estimate(c.target, q, warm, now)
-		if warm && c.crowded {
-			e.cost += time.Duration(crowdedCost * float64(s.expected(q, false)-s.expected(q, true)))
-		}
 		if best.Target == "" || e.cost < least {
 			least = e.cost
 			best = Choice{
--- a/pasteer/shortlist.go
+++ b/pasteer/shortlist.go
@@ -12,8 +12,6 @@
 	// usable says that the target may get the request now; one that does not answer, or is cold and has all
 	// that it bears, may not, but stays the home of its objects.
 	usable bool
-	// home says that the object may run cold there, crowded that the target has enough other objects.
-	home, crowded bool
 }
 
 // shortlist is the targets that a decision weighs.
--- a/pasteer/steer.go
+++ b/pasteer/steer.go
@@ -42,8 +42,6 @@
 	used map[string]bool
 	// warmAt has the targets where an object is taken to be warm, by its key.
 	warmAt map[uint64][]*target
-	// known is how many objects of each service are warm anywhere.
-	known map[string]int
 	// scratch and scratchUsable are kept between decisions, which then allocate nothing.
 	scratch, scratchUsable []candidate
 	// notes is what neighbours are told of warm objects.
@@ -64,16 +62,11 @@
 	settings paroute.Service
 	targets  []*target
 	budget   window
-	// since is when the first request came, slots those of all targets that may be used.
-	since time.Time
-	slots float64
 	// near and regions are the targets by their distance and region, newcomers those that may never have got a request.
 	near      [nearNone + 1][]*target
 	regions   map[string][]*target
 	newcomers []newcomer
-	// ranks are the rankings of objects among all targets, regionRanks among those of a region.
-	ranks       ranks
-	regionRanks map[string]*ranks
+	ranks     ranks
 	// turn changes with each request that has no object, so that each meets other targets.
 	turn int
 }
@@ -118,7 +111,7 @@
 func New(c Config) *Steer {
 	return &Steer{
 		Config: c, hash: xxhash.Sum64String(c.Name), targets: map[string]*target{}, services: map[string]*service{},
-		splits: map[string]*paroute.Splitter{}, work: map[string]*workTime{}, used: map[string]bool{}, warmAt: map[uint64][]*target{}, known: map[string]int{}, entries: 1, feeders: map[string]feeder{},
+		splits: map[string]*paroute.Splitter{}, work: map[string]*workTime{}, used: map[string]bool{}, warmAt: map[uint64][]*target{}, entries: 1, feeders: map[string]feeder{},
 	}
 }
 
@@ -157,7 +150,7 @@
 	for name, settings := range c.Services {
 		g := s.services[name]
 		if g == nil {
-			g = &service{regionRanks: map[string]*ranks{}}
+			g = &service{}
 			s.services[name] = g
 		}
 		g.settings, g.targets = settings, g.targets[:0]
@@ -166,11 +159,8 @@
 
 // sortOut sorts the targets by distance and region.
 func (s *Steer) sortOut(g *service) {
-	g.near, g.regions, g.newcomers, g.slots = [nearNone + 1][]*target{}, map[string][]*target{}, nil, 0
+	g.near, g.regions, g.newcomers = [nearNone + 1][]*target{}, map[string][]*target{}, nil
 	for _, t := range g.targets {
-		if !t.closed {
-			g.slots += t.slots()
-		}
 		g.near[t.near] = append(g.near[t.near], t)
 		g.regions[t.region] = append(g.regions[t.region], t)
 		if !t.joinedAt.IsZero() && !t.used && t.near < nearNone {
@@ -184,9 +174,6 @@
 	s.forget(t)
 	if g := s.services[t.member.Service]; g != nil {
 		g.ranks.leave(t)
-		if r := g.regionRanks[t.region]; r != nil {
-			r.leave(t)
-		}
 	}
 	delete(s.targets, t.member.ID)
 }
@@ -226,9 +213,6 @@
 	}
 	if g := s.services[m.Service]; g != nil {
 		g.ranks.join(t)
-		if r := g.regionRanks[t.region]; r != nil {
-			r.join(t)
-		}
 	}
 	return t
 }
--- a/pasteer/warm.go
+++ b/pasteer/warm.go
@@ -82,9 +82,6 @@
 		s.unindex(t, out)
 	}
 	if !known {
-		if len(s.warmAt[key]) == 0 {
-			s.known[t.member.Service]++
-		}
 		s.warmAt[key] = append(s.warmAt[key], t)
 	}
 	return true
@@ -94,7 +91,6 @@
 func (s *Steer) unindex(t *target, key uint64) {
 	all := slices.DeleteFunc(s.warmAt[key], func(o *target) bool { return o == t })
 	if s.warmAt[key] = all; len(all) == 0 {
-		s.known[t.member.Service]--
 		delete(s.warmAt, key)
 	}
 }
