pagate: a neighbour that knows nothing is no reading; the last reader reads before a change must be in force

Cause, found by reading: a neighbour without any reading answers with an age of centuries, which counted as a reading at a start: the store was then read as if by a watch, without what it keeps of warm objects. The bound of the last reader took the time in which a target drains, though a version of the configuration may be due sooner.

--- a/pagate/config.go
+++ b/pagate/config.go
@@ -30,8 +30,9 @@
 	Store string
 	// Grace is how long after SIGTERM the process is killed.
 	Grace time.Duration
-	// DrainTime is how long a target serves on after it said that it leaves.
-	DrainTime time.Duration
+	// ChangeTime is how soon what the store holds must be in force: a version of the configuration, or a target's word
+	// that it leaves.
+	ChangeTime time.Duration
 	// FirstStart says that the whole deployment starts for the first time.
 	FirstStart bool
 	// LookUpLife is the longest time that callers keep the answer of a look-up.
--- a/pagate/follow.go
+++ b/pagate/follow.go
@@ -21,8 +21,8 @@
 	watchTime = time.Second
 	// maxAge is the age of what is known at which neighbours are asked for more, and the first of them reads the store
 	// in the place of those that should have: a watch, a call by which a neighbour asks, and the ways of both.
-	maxAge = watchTime + syncPace + 300*time.Millisecond
-	// latestMargin is how long before a target that drains must get nothing more the last entry VM reads by itself.
+	maxAge = watchTime + syncPace + 500*time.Millisecond
+	// latestMargin is how long before a change must be in force the last entry VM reads by itself.
 	latestMargin = 300 * time.Millisecond
 	// storeTimeout bounds a call; the store answers in 4 ms, and a silent connection shows no error.
 	storeTimeout = watchTime + 500*time.Millisecond
@@ -80,12 +80,12 @@
 // pause is the time to the next reading of the store after a number of failures.
 //
 // Load: the store is away, and a hundred entry VMs find what they know too old. Harm prevented: each asks it again
-// twice a second. The readers do; for the others it is enough to ask before a target that drains must be known.
+// twice a second. The readers do; for the others it is enough to ask before a change must be in force.
 func (g *Gate) pause(fails int) time.Duration {
 	if g.isReader() {
 		return readPace
 	}
-	most := max(readPace, g.config.Settings.DrainTime/2)
+	most := max(readPace, g.config.Settings.ChangeTime/2)
 	return min(most, readPace*time.Duration(1+fails))
 }
 
@@ -113,7 +113,7 @@
 	}
 	until := g.config.Clock.Now().Add(patience)
 	for g.config.Clock.Now().Before(until) && g.sleep(ctx, startPace) {
-		if !g.state.Load().readAt.IsZero() {
+		if g.state.Load().revision > 0 {
 			return true
 		}
 	}
@@ -129,16 +129,16 @@
 	}
 	all := g.byHash(s)
 	rank := slices.IndexFunc(all, func(e pafleet.Entry) bool { return e.Name == g.self.Name })
-	return g.config.Clock.Since(s.readAt) > staleAfter(rank, len(all), g.config.Settings.DrainTime)
+	return g.config.Clock.Since(s.readAt) > staleAfter(rank, len(all), g.config.Settings.ChangeTime)
 }
 
 // staleAfter returns the age of what is known at which the entry VM with a rank among n reads the store by itself.
 //
 // Load: the readers are gone or cut off, and a hundred entry VMs find what they know too old at the same moment. Harm
 // prevented: all of them read the store at once. They come one after the other, and most have heard of what the
-// first ones read before their turn; the last one's is before a target that drains must be known.
-func staleAfter(rank, n int, drain time.Duration) time.Duration {
-	last := max(maxAge, drain-latestMargin)
+// first ones read before their turn; the last one's is before a change must be in force.
+func staleAfter(rank, n int, change time.Duration) time.Duration {
+	last := max(maxAge, change-latestMargin)
 	return maxAge + (last-maxAge)*time.Duration(rank)/time.Duration(max(1, n))
 }
 
--- a/pagate/follow_test.go
+++ b/pagate/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -13,15 +14,15 @@
 
 // The readers are gone, and each of a hundred entry VMs read the store itself at the same moment.
 func TestEntryVMsReadInTheReadersPlaceOneAfterTheOther(t *testing.T) {
-	for _, drain := range []time.Duration{0, 2500 * time.Millisecond, 4 * time.Second} {
+	for _, change := range []time.Duration{0, 2500 * time.Millisecond, 4 * time.Second} {
 		const n = 119
 		for rank := 1; rank < n; rank++ {
-			at, before := staleAfter(rank, n, drain), staleAfter(rank-1, n, drain)
-			if at < before || drain > maxAge && at > drain-latestMargin {
-				t.Errorf("drain time %v: entry VM %d reads after %v", drain, rank, at)
+			at, before := staleAfter(rank, n, change), staleAfter(rank-1, n, change)
+			if at < before || change > maxAge && at > change-latestMargin {
+				t.Errorf("change time %v: entry VM %d reads after %v", change, rank, at)
 			}
 		}
-		if first := staleAfter(0, n, drain); first < maxAge {
+		if first := staleAfter(0, n, change); first < maxAge {
 			t.Errorf("the first reads after %v, when readers may still be on their way", first)
 		}
 	}
@@ -91,3 +92,18 @@
 		t.Errorf("%d watches in 3 s of a store without changes, want at most %d", r.watches, most)
 	}
 }
+
+// All entry VMs start again, and a seed answers before it knows anything: taken for its word, nothing was read of what
+// the store keeps of warm objects.
+func TestANeighbourThatKnowsNothingIsNoReading(t *testing.T) {
+	s := Settings{Name: "e", Seeds: []netip.AddrPort{netip.MustParseAddrPort("10.0.0.9:1")}}
+	g := New(Config{Settings: s, Network: unused{}, Clock: clockwork.NewRealClock()})
+	g.state.Store(&state{readAt: time.Unix(0, 0)})
+	if g.toldAtStart(context.Background()) {
+		t.Error("an answer without a revision counts as a reading")
+	}
+	g.state.Store(&state{readAt: time.Now(), revision: 7})
+	if !g.toldAtStart(context.Background()) {
+		t.Error("a neighbour's reading is not taken")
+	}
+}
