--- a/pasteer/pick.go
+++ b/pasteer/pick.go
@@ -85,8 +85,7 @@
 	cost         time.Duration
 }
 
-// wayTime is the time to a target and back, by its distance: 35 ms one way between regions, as all of today's
-// deployments have. It only decides between targets that are alike otherwise.
+// wayTime is the time to a target and back, by its distance. It only decides between targets that are alike otherwise.
 var wayTime = [...]time.Duration{nearZone: 0, nearRegion: 0, nearNone: 70 * time.Millisecond}
 
 func (s *Steer) estimate(t *target, q Request, warm bool, now time.Time) estimate {
