--- a/pagate/limit.go
+++ b/pagate/limit.go
@@ -152,12 +152,13 @@
 
 // shareOf returns the share of a workspace as the state divides it.
 func (l *limits) shareOf(w *paroute.Workspace, s *state) *share {
+	bucket := l.gate.division(w, s).Share
 	h := l.shares[w.Name]
 	if h == nil {
-		h = &share{Share: paquota.NewShare(l.from)}
+		h = &share{Share: paquota.NewShare(bucket, l.from)}
 		l.shares[w.Name] = h
 	}
-	h.Set(l.gate.division(w, s).Share, l.gate.uptime())
+	h.Set(bucket, l.gate.uptime())
 	return h
 }
 
--- a/pagate/limiter.go
+++ b/pagate/limiter.go
@@ -267,12 +267,13 @@
 		delete(l.pools, name)
 		return nil
 	}
+	bucket := l.gate.division(w, s).Pool
 	p := l.pools[name]
 	if p == nil {
-		p = paquota.NewPool(l.from)
+		p = paquota.NewPool(bucket, l.from)
 		l.pools[name] = p
 	}
-	p.Set(l.gate.division(w, s).Pool, now)
+	p.Set(bucket, now)
 	return p
 }
 
--- a/paquota/divide.go
+++ b/paquota/divide.go
@@ -45,24 +45,27 @@
 // equal parts for all refuse requests where the callers are while most of the limit is unused elsewhere.
 func Divide(l Limit, t Terms, entries int) Division {
 	n := float64(max(1, entries))
-	allowance := used * t.Allowance(l)
-	rate := used * l.Rate * (1 + t.Overage)
-	onTheWay := (1 - sharesRate) * rate * CallTime.Seconds()
-	depth := allowance - rate*t.Window.Seconds() - onTheWay
-	if depth < poolLeast {
-		depth = min(poolLeast, allowance)
-		rate = max(0, allowance-depth) / (t.Window + CallTime).Seconds()
-	}
-	d := Division{Pool: Bucket{Rate: rate, Depth: depth}}
-	each := math.Floor(sharesDepth * depth / n)
-	if each == 0 && depth-poolLeast >= n {
+	all := whole(l, t, 1-sharesRate)
+	each := math.Floor(sharesDepth * all.Depth / n)
+	if each == 0 && all.Depth-poolLeast >= n {
 		each = 1
 	}
 	if each == 0 {
 		// A bucket that holds no whole request lets none run.
-		return d
+		return Division{Pool: whole(l, t, 1)}
+	}
+	share := Bucket{Rate: sharesRate * all.Rate / n, Depth: each}
+	return Division{Share: share, Pool: Bucket{Rate: all.Rate - n*share.Rate, Depth: all.Depth - n*share.Depth}}
+}
+
+// whole returns the rate and the depth of all buckets together, where the pool has a part of the rate.
+func whole(l Limit, t Terms, pooled float64) Bucket {
+	allowance := used * t.Allowance(l)
+	lasting := t.Window.Seconds() + pooled*CallTime.Seconds()
+	rate := used * l.Rate * (1 + t.Overage)
+	if depth := allowance - rate*lasting; depth >= poolLeast {
+		return Bucket{Rate: rate, Depth: depth}
 	}
-	d.Share = Bucket{Rate: sharesRate * rate / n, Depth: each}
-	d.Pool = Bucket{Rate: rate - n*d.Share.Rate, Depth: depth - n*each}
-	return d
+	depth := min(poolLeast, allowance)
+	return Bucket{Rate: (allowance - depth) / lasting, Depth: depth}
 }
--- a/paquota/pool.go
+++ b/paquota/pool.go
@@ -8,8 +8,8 @@
 	level  level
 }
 
-// NewPool returns an empty Pool that fills from a moment on.
-func NewPool(from time.Duration) *Pool { return &Pool{level: level{at: from}} }
+// NewPool returns a Pool that was empty at a moment and fills from then on.
+func NewPool(b Bucket, from time.Duration) *Pool { return &Pool{bucket: b, level: level{at: from}} }
 
 // Set sets the bucket; what is in it stays, as far as it fits.
 func (p *Pool) Set(b Bucket, now time.Duration) {
--- a/paquota/share.go
+++ b/paquota/share.go
@@ -43,8 +43,8 @@
 	Refuse
 )
 
-// NewShare returns an empty Share that fills from a moment on.
-func NewShare(from time.Duration) *Share { return &Share{level: level{at: from}} }
+// NewShare returns a Share that was empty at a moment and fills from then on.
+func NewShare(b Bucket, from time.Duration) *Share { return &Share{bucket: b, level: level{at: from}} }
 
 // Set sets the bucket; what is in it stays, as far as it fits.
 func (s *Share) Set(b Bucket, now time.Duration) {
