--- a/paroute/route_test.go
+++ b/paroute/route_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"testing"
 	"time"
 
