--- a/palookup/table.go
+++ b/palookup/table.go
@@ -85,35 +85,3 @@
 	n.blocks = blocks
 	return n, nil
 }
-
-// Difference returns the change from one sorted list of blocks to another, such as two versions of a piece.
-func Difference(old, now []pabundle.ClientBlock) Delta {
-	var d Delta
-	i, j := 0, 0
-	for i < len(old) || j < len(now) {
-		c := 0
-		switch {
-		case i == len(old):
-			c = 1
-		case j == len(now):
-			c = -1
-		default:
-			c = old[i].Prefix.Compare(now[j].Prefix)
-		}
-		switch {
-		case c < 0:
-			d.Remove = append(d.Remove, old[i].Prefix)
-			i++
-		case c > 0:
-			d.Set = append(d.Set, now[j])
-			j++
-		default:
-			if old[i].Region != now[j].Region {
-				d.Set = append(d.Set, now[j])
-			}
-			i++
-			j++
-		}
-	}
-	return d
-}
--- a/pamember/message.go
+++ b/pamember/message.go
@@ -83,16 +83,3 @@
 	Address netip.AddrPort
 	Message Message
 }
-
-// Split parts what a Step sends in answer to a message from the address of its sender, which can go
-// back in the reply of the same call, from what has to be sent by calls of its own.
-func Split(all []Envelope, sender netip.AddrPort) (reply []Message, rest []Envelope) {
-	for _, e := range all {
-		if e.Address == sender {
-			reply = append(reply, e.Message)
-			continue
-		}
-		rest = append(rest, e)
-	}
-	return reply, rest
-}
--- a/papayahead/check.go
+++ b/papayahead/check.go
@@ -57,7 +57,7 @@
 	if v.Config == nil {
 		report("no configuration is in the store")
 	} else {
-		checkView(&v, report)
+		checkView(&v, s.Regions, report)
 	}
 	fmt.Printf("%d targets, %d entry VMs, %d zones evacuated, %d faults\n", len(v.Targets), len(v.Entries), len(v.Evacuated), faults)
 	if faults > 0 {
@@ -66,8 +66,8 @@
 	return nil
 }
 
-func checkView(v *pafleet.View, report func(format string, arguments ...any)) {
-	for _, f := range paroute.Check(v.Config) {
+func checkView(v *pafleet.View, regions map[string]string, report func(format string, arguments ...any)) {
+	for _, f := range append(paroute.Check(v.Config), paroute.CheckRegions(v.Config.Workspaces, regions)...) {
 		report("%s", f)
 	}
 	ready := map[string]int{}
