--- a/paquota/quota_test.go
+++ b/paquota/quota_test.go
@@ -324,6 +324,26 @@
 	}
 }
 
+// Hundreds of entry VMs asked for a workspace whose pool had nothing to spare at each turn, and the calls between regions
+// cost more than all requests.
+func TestAsksInVainBecomeRare(t *testing.T) {
+	s := NewShare(Bucket{Depth: 2}, 0, Terms{Window: 5 * time.Second}, 0)
+	asks := 0
+	for now := time.Duration(0); now < time.Minute; now += 50 * time.Millisecond {
+		if w := s.Wanted(now); w.Spare > 0 {
+			asks++
+			s.Granted(0, 0, 0, now)
+		}
+	}
+	if asks > 20 {
+		t.Errorf("%d calls in a minute that brought nothing", asks)
+	}
+	s.Granted(2, 0, 0, time.Minute)
+	if s.Take(time.Minute, true); s.Wanted(time.Minute).Spare == 0 {
+		t.Error("a share that was refilled does not ask again once it was used")
+	}
+}
+
 func ExampleDivide() {
 	terms := Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
 	d := Divide(Limit{Rate: 100, Burst: 100}, terms, 10)
--- a/paquota/share.go
+++ b/paquota/share.go
@@ -11,6 +11,10 @@
 	comeBackMost  = 2 * time.Second
 	// dryLeast is the least time between two calls for a workspace whose pool had too little.
 	dryLeast = 30 * time.Millisecond
+	// spareAgain is the time between two calls for requests to come where the first brought nothing; it doubles with
+	// each, at the most vainMost times.
+	spareAgain = 250 * time.Millisecond
+	vainMost   = 4
 	// wantedMost bounds what one entry VM asks the limiter for at once.
 	wantedMost = 4096
 )
@@ -23,6 +27,9 @@
 	level level
 	// waiting is how many requests wait for the limiter's answer.
 	waiting int
+	// spareAt is when to ask for requests to come again, and vain how often that brought nothing in a row.
+	spareAt time.Duration
+	vain    int
 	// dryUntil is until when the limiter has nothing to give.
 	dryUntil time.Duration
 }
@@ -80,15 +87,22 @@
 }
 
 // Wanted returns what to ask the limiter for; nothing while it is known to have none.
+//
+// Load: hundreds of entry VMs, and a workspace whose pool is below its half. Harm prevented: each asks for requests to come
+// several times a second and gets nothing, over links that callers need.
 func (s *Share) Wanted(now time.Duration) Wanted {
 	if now < s.dryUntil {
 		return Wanted{}
 	}
 	s.level.fill(now)
 	w := Wanted{Waiting: min(s.waiting, wantedMost)}
-	if b := s.level.bucket; float64(s.level.tokens()) < (b.Depth+b.Window+1)/2 {
+	if b := s.level.bucket; now >= s.spareAt && float64(s.level.tokens()) < (b.Depth+b.Window+1)/2 {
 		w.Spare = int(math.Ceil(b.Depth - s.level.flowing))
 	}
+	if w.Spare > 0 {
+		s.spareAt = now + spareAgain<<min(s.vain, vainMost)
+		s.vain++
+	}
 	return w
 }
 
@@ -97,7 +111,10 @@
 func (s *Share) Granted(n int, next, patience, now time.Duration) (run, refused int) {
 	s.level.fill(now)
 	run = min(n, s.waiting)
-	s.level.add(n - run)
+	if n > run {
+		s.level.add(n - run)
+		s.spareAt, s.vain = now, 0
+	}
 	run += s.level.take(s.waiting - run)
 	s.waiting -= run
 	if s.waiting == 0 || next <= 0 {
