--- a/pagate/limiter.go
+++ b/pagate/limiter.go
@@ -78,7 +78,7 @@
 		}
 		s := g.state.Load()
 		own := s.limiter == g.self.Name
-		if s.table == nil || !s.table.Limited() || !s.registered || g.leaving.Load() || s.limiter != "" && !own && !told {
+		if !l.mayClaim(s) || s.limiter != "" && !own && !told {
 			missing = 0
 			continue
 		}
@@ -101,12 +101,20 @@
 	}
 }
 
-// rank returns how many entry VMs come before this one: those with a wider link do, as all others call the limiter.
+// mayClaim says whether this entry VM may be the limiter, if there is anything to limit.
+func (l *limiter) mayClaim(s *state) bool {
+	return s.table != nil && s.table.Limited() && s.registered && !l.gate.leaving.Load()
+}
+
+// byLink orders entry VMs as limiters: those with a wider link come first, as all others call the limiter.
+func byLink(a, b pafleet.Entry) int {
+	return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)))
+}
+
+// rank returns how many entry VMs come before this one.
 func (l *limiter) rank(s *state) int {
 	all := l.gate.live(s)
-	slices.SortFunc(all, func(a, b pafleet.Entry) int {
-		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)))
-	})
+	slices.SortFunc(all, byLink)
 	return slices.IndexFunc(all, func(e pafleet.Entry) bool { return e.Name == l.gate.self.Name })
 }
 
@@ -214,16 +222,14 @@
 	l.hint, l.hintEnd = name, l.gate.uptime()+hintLife
 }
 
-// successor returns the other entry VM with the widest link.
+// successor returns the first of the other entry VMs.
 func (l *limiter) successor() (pafleet.Entry, bool) {
 	g := l.gate
 	all := slices.DeleteFunc(g.live(g.state.Load()), func(e pafleet.Entry) bool { return e.Name == g.self.Name })
 	if len(all) == 0 {
 		return pafleet.Entry{}, false
 	}
-	return slices.MinFunc(all, func(a, b pafleet.Entry) int {
-		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)))
-	}), true
+	return slices.MinFunc(all, byLink), true
 }
 
 // TakeOver answers the limiter that leaves.
