paentry: what becomes of an ask for credits is counted and logged; pascenario: a run may name its network

Callers saw 5 in 100 requests refused as NoCredit (TestScenarios/shift_planned) and neither logs nor metrics told whether an entry VM's asks for credits were not sent, failed, were answered with none, or whether the grants were dropped.

papayahead_credit_asks_total counts asks by answer (Granted, Empty, Failed), CreditsWithheld (5007) is logged once a spell, an ask that is dropped because too many calls are under way counts as failed, and a grant that comes after its term, twice or unasked is logged as CreditsVoided. Setup takes a World, so that the flag -network of pascenario's tests can name the loopback network, on which the order of look-ups depends.

--- a/pacontrol/credit.go
+++ b/pacontrol/credit.go
@@ -9,6 +9,7 @@
 
 	"papayahead/pabundle"
 	"papayahead/pacredit"
+	"papayahead/paevent"
 	"papayahead/paowner"
 	"papayahead/paplacement"
 	"papayahead/pawire"
@@ -106,10 +107,13 @@
 
 // takeGrant takes the answer to an ask and offers what came to the requests that wait.
 func (k *Control) takeGrant(now time.Time, g pacredit.Grant) {
-	if k.holder.Accept(now, g) {
+	switch {
+	case k.holder.Accept(now, g):
 		for _, x := range g.Items {
 			k.granted[creditKey{g.Granter.Name, x.Service}] = now
 		}
+	case len(g.Items) > 0:
+		k.note(paevent.CreditsVoided{Granter: string(g.Granter.Name), Reason: "they came after their term, twice or unasked"})
 	}
 	k.placeWaiting(now)
 }
--- a/paentry/limits.go
+++ b/paentry/limits.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -10,7 +9,6 @@
 	"papayahead/pabundle"
 	"papayahead/pacontrol"
 	"papayahead/pacredit"
-	"papayahead/paevent"
 	"papayahead/paledger"
 	"papayahead/paview"
 	"papayahead/pawire"
@@ -19,9 +17,10 @@
 // The calls by which daemons keep their limits, and the answers to them.
 
 func (p *peers) askCredit(ctx context.Context, a pacontrol.AskCredit) {
-	p.call(ctx, controlTimeout, nothing, func(ctx context.Context) {
+	dropped := func() { p.noteAsk(a, pacredit.Grant{}, errTooManyCalls) }
+	p.call(ctx, controlTimeout, dropped, func(ctx context.Context) {
 		g, err := p.askGrant(ctx, a)
-		p.noteAsk(a.Address, err)
+		p.noteAsk(a, g, err)
 		if err == nil {
 			p.daemon.post(pacontrol.CreditGranted{Grant: g})
 		}
@@ -36,20 +35,6 @@
 	return pacredit.GrantFromWire(w)
 }
 
-// noteAsk logs the first of a granter's asks in a row that fail, and the first one that is answered again.
-func (p *peers) noteAsk(granter netip.AddrPort, err error) {
-	_, failed := p.unanswered.LoadOrStore(granter, nil)
-	switch {
-	case err == nil:
-		p.unanswered.Delete(granter)
-		if failed {
-			p.daemon.record(paevent.CreditsAnswered{Granter: granter.String()})
-		}
-	case !failed:
-		p.daemon.record(paevent.CreditsUnanswered{Granter: granter.String(), Reason: err.Error()})
-	}
-}
-
 func (p *peers) announce(ctx context.Context, a pacontrol.Announce) {
 	p.call(ctx, controlTimeout, nothing, func(ctx context.Context) {
 		w, err := pawire.NewDRPCAgreementClient(p.conn(ctx, a.Address)).Announce(ctx, a.Announcement.Wire())
--- a/paentry/metrics.go
+++ b/paentry/metrics.go
@@ -39,9 +39,19 @@
 	m.set.GetOrCreateHistogram(fmt.Sprintf("papayahead_refusal_seconds{service=%q}", r.Service)).Update(took.Seconds())
 }
 
+// asks counts the asks for credits that had an answer.
+func (m *metrics) asks(n pabundle.ServiceName, a askAnswer) *vm.Counter {
+	return m.set.GetOrCreateCounter(fmt.Sprintf("papayahead_credit_asks_total{service=%q,answer=%q}", n, a))
+}
+
 func (d *Daemon) answerMetrics(w http.ResponseWriter, _ *http.Request) {
-	d.metrics.set.WritePrometheus(w)
 	s := d.snapshot.Load()
+	for n := range s.Loads {
+		for _, a := range [...]askAnswer{askGranted, askEmpty, askFailed} {
+			d.metrics.asks(n, a)
+		}
+	}
+	d.metrics.set.WritePrometheus(w)
 	d.writeState(w, s)
 	for _, n := range slices.Sorted(maps.Keys(s.Loads)) {
 		writeService(w, n, s.Loads[n])
--- a/paentry/peers.go
+++ b/paentry/peers.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -43,8 +42,7 @@
 	daemon *Daemon
 	pool   *drpcpool.Pool[netip.AddrPort, drpcpool.Conn]
 	slots  chan struct{}
-	// unanswered holds the addresses of granters whose last answer to an ask for credits was an error.
-	unanswered sync.Map
+	asks askRecord
 }
 
 func newPeers(d *Daemon) *peers {
--- a/paevent/limit.go
+++ b/paevent/limit.go
@@ -1,7 +1,7 @@
 package paevent
 
 // limitEvents are numbers 5001 to 5999: shifts, credits, links and the key ledger.
-var limitEvents = []Event{ShiftStarted{}, ShiftEnded{}, RegionShed{}, CreditsVoided{}, CreditsUnanswered{}, CreditsAnswered{}, LedgerHandedOver{}}
+var limitEvents = []Event{ShiftStarted{}, ShiftEnded{}, RegionShed{}, CreditsVoided{}, CreditsUnanswered{}, CreditsAnswered{}, CreditsWithheld{}, LedgerHandedOver{}}
 
 // ShiftStarted reports that shares of a service began to move.
 type ShiftStarted struct {
@@ -70,7 +70,7 @@
 
 func (CreditsUnanswered) sealed() {}
 
-// CreditsAnswered reports that a granter answers asks for credits again.
+// CreditsAnswered reports that a granter grants credits again.
 type CreditsAnswered struct {
 	// Granter is the granter's address for other daemons.
 	Granter string
@@ -78,11 +78,26 @@
 
 // Kind returns the catalogue's entry.
 func (CreditsAnswered) Kind() Kind {
-	return Kind{Number: 5006, Name: "CreditsAnswered", Level: Info, Text: "An entry VM whose asks for credits failed answers them again."}
+	return Kind{Number: 5006, Name: "CreditsAnswered", Level: Info, Text: "An entry VM whose asks for credits failed or brought none grants some again."}
 }
 
 func (CreditsAnswered) sealed() {}
 
+// CreditsWithheld reports that a granter answers asks for credits with none, one after the other.
+type CreditsWithheld struct {
+	// Granter is the granter's address for other daemons.
+	Granter string
+	// Asks is how many asks in a row got none.
+	Asks int
+}
+
+// Kind returns the catalogue's entry.
+func (CreditsWithheld) Kind() Kind {
+	return Kind{Number: 5007, Name: "CreditsWithheld", Level: Warning, Text: "An entry VM of another region answers asks for credits with none: its slots are taken or promised to others."}
+}
+
+func (CreditsWithheld) sealed() {}
+
 // LedgerHandedOver reports that a keeper gave its memory to its successors.
 type LedgerHandedOver struct{ Keys, Successors int }
 
--- a/pascenario/commands.go
+++ b/pascenario/commands.go
@@ -22,8 +22,7 @@
 type worldKey struct{}
 
 // Setup gives a script its World.
-func Setup(e *testscript.Env, launch Launch, examples string) {
-	w := &World{Launch: launch, Examples: examples}
+func Setup(e *testscript.Env, w *World) {
 	e.Values[worldKey{}] = w
 	e.Defer(w.Close)
 }
--- a/pascenario/scenario_test.go
+++ b/pascenario/scenario_test.go
@@ -74,10 +74,18 @@
 	os.Exit(code)
 }
 
-var keep = flag.Bool("keep", false, "keep the directories of scenarios")
+var (
+	keep    = flag.Bool("keep", false, "keep the directories of scenarios")
+	network = flag.Uint("network", 0, "network of loopback to take if it is free, 20 to 219; 0 is any")
+)
 
 var demo = flag.String("demo", "", "deployment to demonstrate: instituto or kartuli")
 
+func setup(e *testscript.Env) error {
+	Setup(e, &World{Launch: launch, Examples: "../examples", FirstNetwork: byte(*network)})
+	return nil
+}
+
 // keyedServices are the services of each example whose requests must not run twice, and the target
 // that its demonstration drains.
 var keyedServices = map[string][3]string{
@@ -96,7 +104,9 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "../examples/demo",
 		Setup: func(e *testscript.Env) error {
-			Setup(e, launch, "../examples")
+			if err := setup(e); err != nil {
+				return err
+			}
 			e.Setenv("DEPLOYMENT", *demo)
 			e.Setenv("KEYED1", keyed[0])
 			e.Setenv("KEYED2", keyed[1])
@@ -114,7 +124,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir:      "testdata",
 		TestWork: *keep,
-		Setup:    func(e *testscript.Env) error { Setup(e, launch, "../examples"); return nil },
+		Setup:    setup,
 		Cmds:     Commands(),
 	})
 }
@@ -137,7 +147,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir:      directory,
 		TestWork: *keep,
-		Setup:    func(e *testscript.Env) error { Setup(e, launch, "../examples"); return nil },
+		Setup:    setup,
 		Cmds:     Commands(),
 	})
 }
--- a/pascenario/world.go
+++ b/pascenario/world.go
@@ -44,6 +44,9 @@
 	Launch Launch
 	// Examples is the directory of the example bundles.
 	Examples string
+	// FirstNetwork is the network of loopback to take if nobody uses it, the second byte of its addresses;
+	// 0 lets the process's identifier say. Look-ups rank by addresses, so a run depends on it.
+	FirstNetwork byte
 
 	deployment *Deployment
 	directory  string
@@ -81,8 +84,11 @@
 // reserveNet finds a network that nobody uses and holds it with a listener until the script ends.
 // Without it two runs side by side would share a network: the later one's platform could not listen,
 // and its operator would meet the other run's versions.
-func reserveNet() (byte, net.Listener, error) {
+func reserveNet(wanted byte) (byte, net.Listener, error) {
 	first := uint32(os.Getpid())*netStride + nets.Add(1)
+	if wanted >= firstNet {
+		first = uint32(wanted - firstNet)
+	}
 	for i := range uint32(netCount) {
 		n := byte(firstNet + (first+i)%netCount)
 		l, err := net.Listen("tcp", netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, n, platformNet, 3}), reservedPort).String())
@@ -110,7 +116,7 @@
 		return err
 	}
 	w.directory, w.drained = directory, map[string]time.Time{}
-	n, reserved, err := reserveNet()
+	n, reserved, err := reserveNet(w.FirstNetwork)
 	if err != nil {
 		return err
 	}
