paowner: equal targets take turns, and owners without work get one request in sixteen

Callers behind one address met a few targets' queues while others of their region were never used; make demo and once TestScenarios/target_leaving failed with "worked: availability-08 has run nothing".

Cause: a look-up ranks entry VMs by a hash of service and caller's address, so all these callers have one first entry VM; it keeps what has room at its own targets, and paplacement.Pick took the first in the list of targets with equal use.

Ruled out: load (24 runs of target_leaving beside 12 busy processes passed, a trial).

Equal targets now go by their last start; of the callers' requests that have room here, one in sixteen goes to another owner of the region that told all slots free, in turn, with a patience that sends it back at once if that is no longer so.

--- a/paowner/offer.go
+++ b/paowner/offer.go
@@ -42,6 +42,9 @@
 	}
 	slots := s.slots(now)
 	if slots > 0 && s.queue.Length() == 0 && s.room(now) > 0 {
+		if c, ok := o.spread(now, s, f); ok {
+			return o.forward(now, s, f, c, 0, into)
+		}
 		return o.enqueue(now, s, f, into)
 	}
 	wait := s.wait(now, f)
@@ -63,6 +66,31 @@
 	return o.enqueue(now, s, f, into)
 }
 
+// spread returns an owner of the region without any work for one in spreadEvery requests that could run
+// here, each of them in turn.
+//
+// Load: callers behind one address, who all have the same first entry VM, and not much work. Harm
+// prevented: the targets of the other owners get nothing for hours; nobody knows whether they answer,
+// and the first burst finds them cold.
+func (o *Owner) spread(now time.Time, s *service, f *flight) (paplacement.Candidate, bool) {
+	if f.request.Origin != Caller || f.attempt > 0 || o.config.Elsewhere == nil {
+		return paplacement.Candidate{}, false
+	}
+	s.offers++
+	if s.offers%spreadEvery != 0 {
+		return paplacement.Candidate{}, false
+	}
+	o.candidates = o.config.Elsewhere.Candidates(now, f.request.Service, o.candidates[:0])
+	idle := slices.DeleteFunc(o.candidates, func(c paplacement.Candidate) bool {
+		return c.Distance != paplacement.SameRegion || c.Slots <= 0 || c.Free < c.Slots || c.Full || c.Age > paplacement.ReportAge
+	})
+	if len(idle) == 0 {
+		return paplacement.Candidate{}, false
+	}
+	s.spread++
+	return idle[s.spread%uint64(len(idle))], true
+}
+
 // choose compares the own queue with the places elsewhere. A request that was forwarded here stays:
 // otherwise owners could pass it round.
 func (o *Owner) choose(now time.Time, s *service, f *flight, slots int, wait time.Duration) (paplacement.Candidate, bool) {
@@ -165,6 +193,8 @@
 	}
 	t := s.targets[paplacement.Pick(o.options)]
 	t.Begin()
+	s.starts++
+	t.starts = s.starts
 	f.target = t
 	f.entry = ""
 	f.attempt++
--- a/paowner/owner.go
+++ b/paowner/owner.go
@@ -101,6 +101,9 @@
 	all     estimate
 	// booked is up to when refused callers were already asked to come back.
 	booked time.Time
+	// starts counts the starts at own targets, offers the callers' requests that found room here, and
+	// spread those of them that went to another owner all the same.
+	starts, offers, spread uint64
 }
 
 // target is an own target and what only its owner compares.
@@ -112,6 +115,8 @@
 	dropped bool
 	// told is the phase that the last Changed told.
 	told patarget.Phase
+	// starts is the number of the service's start that was the target's last.
+	starts uint64
 }
 
 // flight is a request between its offer and its end.
--- a/paowner/query.go
+++ b/paowner/query.go
@@ -293,7 +293,7 @@
 
 // option is the target as a place for a request that failed at another or the same one before.
 func (t *target) option(now time.Time, tried *target) paplacement.Option {
-	p := paplacement.Option{Room: t.Room(now), Limit: t.Limit(now), Failures: t.Failures()}
+	p := paplacement.Option{Room: t.Room(now), Limit: t.Limit(now), Failures: t.Failures(), Starts: t.starts}
 	if t == tried {
 		// Another target first: this one has just failed the request.
 		p.Failures = 1
--- a/paplacement/pick.go
+++ b/paplacement/pick.go
@@ -6,12 +6,17 @@
 	Room, Limit int
 	// Failures is its recent failure rate, 0 to 1.
 	Failures float64
+	// Starts orders the options by when each got its last request; 0 is one that never did.
+	Starts uint64
 }
 
 // Pick returns the index of the option with the smallest part of its slots in use, or None when none
 // has room. A failure rate counts as slots in use. Load: a target that fails fast is always the
 // least loaded. Harm prevented: it attracts the work of the others in the moment before it is ejected.
 //
+// Equal ones take turns. Load: less work than slots. Harm prevented: the first in the list gets nearly
+// all of it, and the others are cold when they are needed.
+//
 // Choosing by expected completion, by the peak of run times or between two at random made no
 // difference that could be measured: targets that are slow or fail are set aside by patarget before.
 func Pick(options []Option) int {
@@ -23,7 +28,7 @@
 			continue
 		}
 		use := 1 - float64(o.Room)/float64(max(1, o.Limit)) + o.Failures
-		if best == None || use < least {
+		if best == None || use < least || use == least && o.Starts < options[best].Starts {
 			best, least = i, use
 		}
 	}
