paroute: entry VMs begin a route's round at different places

A part with a tenth of a route's weight got nothing where each of many entry VMs sees a few requests of the route: smooth weighted round robin begins with the part of most weight, and each of them began anew, also after each change of weights' parts. What callers saw: a new service that an operator gave a tenth of a route's requests, to see whether it holds, got none of them.

--- a/pasteer/choose.go
+++ b/pasteer/choose.go
@@ -75,7 +75,7 @@
 func (s *Steer) Part(r *paroute.Route, now time.Time) string {
 	p := s.splits[r.Name]
 	if p == nil {
-		p = &paroute.Splitter{}
+		p = &paroute.Splitter{Seed: hashOf(s.Config.Name, r.Name)}
 		s.splits[r.Name] = p
 	}
 	name := p.Next(r.Parts)
