pasteer: requests without an object use all targets that are alike

At little load one of 2, 4 or 8 targets of the availability zone got all requests without an object, and 3 of 12 (5 of 40); the first request of each of 80 entry VMs went to the same target. The others stood idle and cold until the load rose.

Cause: the list of targets began at turn x 16, so that a number that divides 16 always began at the first, and of targets of equal cost the first in the list is taken; the turn began at 0 everywhere, and the list of all targets, which is taken where few may get the request, did not turn at all.

The list begins one later with each such request, and at a place of its own at each entry VM.

Tests: TestRequestsWithoutObjectUseAllTargetsOfTheZone failed before for each number but 2 in the way above (2: 40 and 0 of 40), TestEntryVMsBeginAtDifferentTargets with 80 of 80. Both pass now.

--- a/pasteer/shortlist.go
+++ b/pasteer/shortlist.go
@@ -44,7 +44,7 @@
 		g.turn++
 		for _, all := range g.near {
 			for i := range min(sampleMost, len(all)) {
-				s.consider(&l, ranked{target: all[(g.turn*sampleMost+i)%len(all)]}, q, now)
+				s.consider(&l, ranked{target: all[g.place(i, len(all))]}, q, now)
 			}
 		}
 	}
@@ -57,12 +57,20 @@
 // wholeList returns all targets that the request may go to.
 func (s *Steer) wholeList(g *service, q Request, now time.Time) shortlist {
 	l := shortlist{all: s.scratch[:0]}
-	for _, t := range g.targets {
+	for i := range g.targets {
+		t := g.targets[g.place(i, len(g.targets))]
 		s.consider(&l, ranked{t, rendezvous(q.key(), t.hash)}, q, now)
 	}
 	return s.sorted(l, q)
 }
 
+// place returns where the i-th of a number of targets stands in their list. The list begins one later with each
+// request without an object, and elsewhere at each entry VM.
+//
+// Load: less work than slots. Harm prevented: of targets that are alike the first in the list gets all requests of all
+// entry VMs, and the others are cold when they are needed.
+func (g *service) place(i, targets int) int { return int((g.turn + uint64(i)) % uint64(targets)) }
+
 // sorted puts the best targets first: those of an object by its ranking, others by their distance.
 func (s *Steer) sorted(l shortlist, q Request) shortlist {
 	s.scratch = l.all
--- a/pasteer/steer.go
+++ b/pasteer/steer.go
@@ -1,6 +1,7 @@
 package pasteer
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -69,8 +70,8 @@
 	ranks     ranks
 	// press is how far targets are behind, by region.
 	press map[string]*press
-	// turn changes with each request that has no object, so that each meets other targets.
-	turn int
+	// turn counts the requests without an object, from a number of this entry VM's own.
+	turn uint64
 }
 
 // target is what is known of one lifetime of a target.
@@ -152,7 +153,7 @@
 	for name, settings := range c.Services {
 		g := s.services[name]
 		if g == nil {
-			g = &service{press: map[string]*press{}}
+			g = &service{press: map[string]*press{}, turn: s.hash % math.MaxUint32}
 			s.services[name] = g
 		}
 		g.settings, g.targets = settings, g.targets[:0]
