paquota: busy entry VMs take turns at the limiter, and small limits without slack are served

A workspace beyond its limit at several entry VMs: callers at one of them had up to 17 times as many of their requests served as those at another with the same load, for as long as the load lasted. Cause: what the pool has goes to whoever asks first after it came, and each entry VM asks again when the pool told it to, in the same order each time. Nothing changes in how many tokens are given out: only who gets them. An ask carries the hash of its entry VM's name (5 bytes).

A limit of a few requests a second or less under terms without slack: all requests were refused (84 of 84 at 1 a second over 7, 34, 300 entry VMs, at 0.7 of the limit), since no bucket ever held a whole request. The pool gets all tokens of such a limit and holds one.

--- a/pagate/limiter.go
+++ b/pagate/limiter.go
@@ -42,6 +42,8 @@
 // over at once.
 type limiter struct {
 	gate *Gate
+	// name is the hash of the own name, which tells this entry VM from others at the limiter.
+	name uint32
 	// free hears that the limiter left and this entry VM is to follow.
 	free chan struct{}
 
@@ -60,7 +62,7 @@
 }
 
 func newLimiter(g *Gate) *limiter {
-	return &limiter{gate: g, free: make(chan struct{}, 1), pools: map[string]*paquota.Pool{}, until: longAgo}
+	return &limiter{gate: g, name: uint32(xxhash.Sum64String(g.self.Name)), free: make(chan struct{}, 1), pools: map[string]*paquota.Pool{}, until: longAgo}
 }
 
 // run claims the pools when nobody keeps them, and keeps the claim.
@@ -243,11 +245,11 @@
 
 // Take answers an entry VM that asks for tokens.
 func (l *limiter) Take(_ context.Context, q *pawire.TakeRequest) (*pawire.TakeReply, error) {
-	return l.take(q.GetWanted()), nil
+	return l.take(q.GetWanted(), q.GetFrom()), nil
 }
 
 // take gives out tokens of the pools; the reply is empty where this entry VM does not keep them.
-func (l *limiter) take(all []*pawire.Wanted) *pawire.TakeReply {
+func (l *limiter) take(all []*pawire.Wanted, from uint32) *pawire.TakeReply {
 	s := l.gate.state.Load()
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -259,7 +261,8 @@
 	for _, w := range all {
 		granted, next := 0, limiterLook
 		if pool := l.pool(s, w.GetWorkspace(), now); pool != nil {
-			granted, next = pool.Take(paquota.Wanted{Waiting: int(w.GetWaiting()), Spare: int(w.GetSpare())}, now)
+			wanted := paquota.Wanted{Waiting: int(w.GetWaiting()), Spare: int(w.GetSpare()), From: uint64(from)}
+			granted, next = pool.Take(wanted, now)
 		}
 		r.Granted = append(r.Granted, &pawire.Granted{Tokens: uint32(granted), NextMilliseconds: uint32(next.Milliseconds())})
 	}
@@ -299,7 +302,7 @@
 	here, name := now < l.until, l.follows(s, now)
 	l.mutex.Unlock()
 	if here {
-		return l.take(wanted).GetGranted(), nil
+		return l.take(wanted, l.name).GetGranted(), nil
 	}
 	ctx, cancel := g.withTimeout(ctx, paquota.CallTime)
 	defer cancel()
@@ -313,7 +316,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	r, err := pawire.NewDRPCLimitingClient(c).Take(ctx, &pawire.TakeRequest{Wanted: wanted})
+	r, err := pawire.NewDRPCLimitingClient(c).Take(ctx, &pawire.TakeRequest{Wanted: wanted, From: l.name})
 	if err != nil {
 		l.disconnect()
 		return nil, trace.Wrap(err)
--- a/paquota/bucket.go
+++ b/paquota/bucket.go
@@ -84,13 +84,16 @@
 // add puts tokens in, as far as they fit.
 func (l *level) add(n int) { l.flowing = math.Min(l.bucket.Depth, l.flowing+float64(n)) }
 
+// inflow is how many tokens a second come at most, in the long run.
+func (l *level) inflow() float64 { return l.bucket.Rate + l.bucket.Window/l.life.Seconds() }
+
 // until returns the time until the bucket holds a number of tokens, or longest where that is not known.
 func (l *level) until(n int, longest time.Duration) time.Duration {
 	missing := float64(n) - l.flowing - float64(l.back())
 	if missing <= 0 {
 		return 0
 	}
-	rate := l.bucket.Rate + l.bucket.Window/l.life.Seconds()
+	rate := l.inflow()
 	if rate <= 0 {
 		return longest
 	}
--- a/paquota/divide.go
+++ b/paquota/divide.go
@@ -47,6 +47,15 @@
 	CallTime = 400 * time.Millisecond
 )
 
+// divideSmall gives all tokens of a limit to the pool, which holds one at once.
+//
+// Load: a workspace that may send a request now and then, and terms without slack. Harm prevented: no bucket ever holds
+// a whole request, and all are refused.
+func divideSmall(tokens float64, t Terms) Division {
+	depth := min(1, tokens)
+	return Division{Pool: Bucket{Depth: depth, Rate: (tokens - depth) / (t.Window + CallTime).Seconds()}}
+}
+
 // Divide divides a limit among a number of entry VMs.
 //
 // Load: each caller uses few entry VMs, so that a workspace of a dozen callers meets some of them only, and each of these
@@ -71,6 +80,9 @@
 		share.Rate = sharedRate * rate / n
 	}
 	pool.Rate = rate - n*share.Rate
+	if (1-flowing)*left/2 < 1 {
+		return divideSmall(used*t.Allowance(l), t)
+	}
 	left *= 1 - flowing
 	share.Window = math.Floor(sharedWindow * left / n)
 	left -= n * share.Window
--- a/paquota/quota_test.go
+++ b/paquota/quota_test.go
@@ -48,6 +48,7 @@
 	call      *call
 	failedAt  time.Duration
 	startedAt time.Duration
+	id        uint64
 }
 
 // call is a call to the limiter on its way.
@@ -83,7 +84,7 @@
 }
 
 func (f *fleet) add(known int, from time.Duration) {
-	e := &entry{alive: true, known: known, limit: f.limit, nextKnown: known, next: f.limit, failedAt: -time.Hour}
+	e := &entry{id: uint64(len(f.entries) + 1), alive: true, known: known, limit: f.limit, nextKnown: known, next: f.limit, failedAt: -time.Hour}
 	e.share = NewShare(f.divide(f.limit, known).Share, 0, f.terms, from)
 	f.entries = append(f.entries, e)
 }
@@ -119,6 +120,7 @@
 	c := e.call
 	if c == nil {
 		if w := e.share.Wanted(f.now); w.Waiting+w.Spare > 0 && !f.plain {
+			w.From = e.id
 			way := time.Duration(f.random.Int64N(int64(CallTime / 2)))
 			e.call = &call{wanted: w, at: f.now, arrives: f.now + way, replies: f.now + 2*way, lost: f.random.Float64() < f.loses}
 		}
--- a/paquota/share.go
+++ b/paquota/share.go
@@ -84,6 +84,8 @@
 type Wanted struct {
 	// Waiting is for requests that wait, Spare for those to come.
 	Waiting, Spare int
+	// From tells entry VMs apart; 0 is one that takes no turns with others.
+	From uint64
 }
 
 // Wanted returns what to ask the limiter for; nothing while it is known to have none.
--- a/paquota/turn_test.go
+++ b/paquota/turn_test.go
@@ -13,6 +13,7 @@
 	nextAsk        time.Duration
 	asks           *call
 	asked, refused int
+	id             uint64
 }
 
 // play lets entry VMs share a limit for two minutes and returns them.
@@ -53,6 +54,7 @@
 		return
 	}
 	if w := b.share.Wanted(now); w.Waiting+w.Spare > 0 {
+		w.From = b.id
 		b.asks = &call{wanted: w, arrives: now + b.way, replies: now + 2*b.way}
 	}
 }
@@ -60,6 +62,9 @@
 // served is the part of the requests that ran.
 func (b *busy) served() float64 { return 1 - float64(b.refused)/float64(b.asked) }
 
+// mostUneven is how many times as many of its requests one of several equal entry VMs may have served.
+const mostUneven = 4
+
 // Guards against entry VMs whose callers are refused for as long as those of others come first at the limiter.
 func TestBusyEntryVMsTakeTurnsAtTheLimiter(t *testing.T) {
 	terms := Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
@@ -69,14 +74,16 @@
 				var all []*busy
 				pace := time.Duration(float64(time.Second) * float64(n) / (rate * over))
 				for i := range n {
-					all = append(all, &busy{pace: pace, way: time.Duration(1+i*3%35) * time.Millisecond, nextRequest: time.Duration(i*13) * time.Millisecond})
+					all = append(all, &busy{id: uint64(i + 1), pace: pace, way: time.Duration(1+i*3%35) * time.Millisecond, nextRequest: time.Duration(i*13) * time.Millisecond})
 				}
 				play(Limit{Rate: rate, Burst: rate}, terms, all)
-				least, most, sum := 2.0, 0.0, 0.0
+				least, most := 1.0, 0.0
 				for _, b := range all {
-					least, most, sum = min(least, b.served()), max(most, b.served()), sum+b.served()/float64(n)
+					least, most = min(least, b.served()), max(most, b.served())
+				}
+				if most > mostUneven*least {
+					t.Errorf("rate %v, %d entry VMs, %v times the limit: served %.3f to %.3f", rate, n, over, least, most)
 				}
-				t.Logf("rate %v, %d entry VMs, %v times the limit: served %.3f to %.3f, mean %.3f", rate, n, over, least, most, sum)
 			}
 		}
 	}
@@ -88,15 +95,18 @@
 	for _, rate := range []float64{0.5, 1, 2, 5} {
 		for _, n := range []int{1, 7, 34, 300} {
 			var all []*busy
+			pace := time.Duration(float64(time.Second) * float64(n) / (rate * 0.7))
 			for i := range n {
-				all = append(all, &busy{pace: time.Duration(float64(time.Second) * float64(n) / (rate * 0.7)), way: 18 * time.Millisecond, nextRequest: time.Duration(i*61) * time.Millisecond})
+				all = append(all, &busy{id: uint64(i + 1), pace: pace, way: 18 * time.Millisecond, nextRequest: time.Duration(i) * pace / time.Duration(n)})
 			}
 			play(Limit{Rate: rate}, terms, all)
 			asked, refused := 0, 0
 			for _, b := range all {
 				asked, refused = asked+b.asked, refused+b.refused
 			}
-			t.Logf("rate %v, %d entry VMs: %d of %d refused", rate, n, refused, asked)
+			if float64(refused) > 0.6*float64(asked) {
+				t.Errorf("rate %v, %d entry VMs: %d of %d requests below the limit are refused", rate, n, refused, asked)
+			}
 		}
 	}
 }
