pagate: each entry VM names others of a region that is larger than an answer

A caller that asks the entry VMs of another region (its own has none, or none that it reaches) was told the first 64 of that region by name: of 100 the last 36 were never named, and the first 64 by all. Found while looking in the gate for choices that always fall on the first. Each entry VM now begins at a place by the hash of its own name.

Test: of 100 entry VMs 64 were named by 50 of 50 others and 36 by none; now each by 10 to 49.

--- a/pagate/directory.go
+++ b/pagate/directory.go
@@ -46,7 +46,11 @@
 	}
 }
 
-// addresses returns the entry VMs of the caller's region that live, or all where there are none.
+// addresses returns the entry VMs of the caller's region that live, or all where there are none; of more than callers
+// take, each entry VM names others.
+//
+// Load: callers of a region of a hundred entry VMs that ask those of another region. Harm prevented: the same ones are
+// named to all of them, and the last in the list get nothing.
 func (g *Gate) addresses(q LookUp) []netip.AddrPort {
 	region := q.Region
 	if r := g.config.Settings.Regions[q.Zone]; r != "" {
@@ -64,8 +68,9 @@
 		near = g.watched(near)
 	}
 	var all []netip.AddrPort
-	for _, e := range near[:min(len(near), addressesMost)] {
-		all = append(all, e.Front)
+	begin := xxhash.Sum64String(g.self.Name) % uint64(max(1, len(near)))
+	for i := range min(len(near), addressesMost) {
+		all = append(all, near[(int(begin)+i)%len(near)].Front)
 	}
 	return all
 }
--- a/pagate/neighbour_test.go
+++ b/pagate/neighbour_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -42,3 +43,32 @@
 		}
 	}
 }
+
+// Guards against entry VMs that no caller of another region is ever sent to.
+func TestAllOfALargeRegionAreNamedToOtherRegions(t *testing.T) {
+	s := &state{}
+	for i := range 200 {
+		front := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i)}), 80)
+		s.entries = append(s.entries, pafleet.Entry{Name: fmt.Sprintf("e%03d", i), Region: fmt.Sprintf("r%d", i%2), Front: front})
+	}
+	named := map[netip.AddrPort]int{}
+	for _, e := range s.entries[:100] {
+		if e.Region != "r0" {
+			continue
+		}
+		g := New(Config{Settings: Settings{Name: e.Name, Region: e.Region}, Network: unused{}, Clock: clockwork.NewFakeClock()})
+		g.state.Store(s)
+		all := g.addresses(LookUp{Region: "r1"})
+		if len(all) != addressesMost {
+			t.Fatalf("%s names %d entry VMs, want %d", e.Name, len(all), addressesMost)
+		}
+		for _, a := range all {
+			named[a]++
+		}
+	}
+	for _, e := range s.entries {
+		if n := named[e.Front]; e.Region == "r1" && (n < 10 || n > 49) {
+			t.Errorf("%s is named by %d of 50 entry VMs of another region, want about 32", e.Name, n)
+		}
+	}
+}
