pagate: how long a former process ran is told by the machine's uptime

The time of day at both starts told how long the former one ran.

A registration now has the machine's uptime at the start too (BornUp, clock of the time since boot); where both starts were in one lifetime of the machine it tells, and a step of the time of day changes nothing. It tells too little, never too much, where the machine started anew and was up for longer.

Test: four cases; the code before took the first two for an hour and for minus an hour.

--- a/pafleet/change.go
+++ b/pafleet/change.go
@@ -112,7 +112,21 @@
 	Peers netip.AddrPort
 	// Born is the Unix millisecond of the process's start.
 	Born int64
+	// BornUp is the milliseconds from the machine's start to the process's; 0 is not known.
+	BornUp int64 `json:",omitempty"`
 	// LinkMbps is the bandwidth of its link; 0 is not known.
 	LinkMbps float64 `json:",omitempty"`
 	Revision Revision
 }
+
+// RanAtLeast returns the least time between the starts of two lifetimes of an entry VM's process.
+//
+// Load: the time of day jumps between two starts. Harm prevented: a process that started a moment ago takes itself for
+// one that ran for long, and has what only such a one may have. Within one lifetime of the machine the time since its
+// start tells; it tells too little, and nothing wrong, where the machine started anew and was up for longer than before.
+func (e Entry) RanAtLeast(former Entry) time.Duration {
+	if former.BornUp > 0 && e.BornUp >= former.BornUp {
+		return time.Duration(e.BornUp-former.BornUp) * time.Millisecond
+	}
+	return time.Duration(e.Born-former.Born) * time.Millisecond
+}
--- a/pafleet/view_test.go
+++ b/pafleet/view_test.go
@@ -142,3 +142,23 @@
 		t.Errorf("limiter %q after a listing without one", v.Limiter)
 	}
 }
+
+// Guards against a process that started a second ago and takes itself for one that ran for long, since the time of day
+// jumped between its starts.
+func TestAJumpOfTheTimeOfDayLengthensNoLife(t *testing.T) {
+	former := Entry{Born: 1_000_000, BornUp: 50_000}
+	for _, c := range []struct {
+		what string
+		now  Entry
+		want time.Duration
+	}{
+		{"it started anew after a second, and the time of day is an hour ahead", Entry{Born: 4_601_000, BornUp: 51_000}, time.Second},
+		{"it started anew after ten seconds, and the time of day is an hour behind", Entry{Born: -2_590_000, BornUp: 60_000}, 10 * time.Second},
+		{"its machine started anew", Entry{Born: 1_020_000, BornUp: 300}, 20 * time.Second},
+		{"its machine started anew and was up for longer than before", Entry{Born: 1_070_000, BornUp: 60_000}, 10 * time.Second},
+	} {
+		if got := c.now.RanAtLeast(former); got != c.want {
+			t.Errorf("%s: ran for %v, want %v", c.what, got, c.want)
+		}
+	}
+}
--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -83,6 +83,7 @@
 	}
 	g.ending, g.end = context.WithCancel(context.Background())
 	g.startedUp = g.uptime()
+	g.self.BornUp = g.startedUp.Milliseconds()
 	g.state.Store(&state{knownAt: longAgo})
 	g.meter = newMeter(g)
 	g.pool = &pool{dial: c.Network.Dial, clock: c.Clock, idle: map[netip.AddrPort][]*conn{}}
--- a/pagate/limit.go
+++ b/pagate/limit.go
@@ -69,7 +69,7 @@
 	if i < 0 {
 		return
 	}
-	ran := time.Duration(l.gate.self.Born-s.entries[i].Born) * time.Millisecond
+	ran := l.gate.self.RanAtLeast(s.entries[i])
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.from, l.again = l.gate.startedUp, ran > l.gate.config.Settings.Quota.Window+againMargin
