--- a/pasteer/load_test.go
+++ b/pasteer/load_test.go
@@ -259,12 +259,15 @@
 // more than their target latency: queues stand at the targets' limit, and what is answered is answered
 // late. The targets could answer a third of all in time.
 func TestSaturationIsRefusedAtOnce(t *testing.T) {
-	r := newReplay(fleet(2), 20)
-	r.run(func(int) int { return 400 }, 20)
-	s := r.share(8, 20)
-	t.Logf("in time at saturation: %.3f", s)
-	if s < 0.1 {
-		t.Errorf("in time at saturation: %.3f", s)
+	for _, waits := range []bool{false, true} {
+		r := newReplay(fleet(2), 20)
+		r.waits = waits
+		r.run(func(int) int { return 400 }, 20)
+		s := r.share(8, 20)
+		t.Logf("in time at saturation, with runs that count waits %t: %.3f", waits, s)
+		if s < 0.1 {
+			t.Errorf("in time at saturation, with runs that count waits %t: %.3f", waits, s)
+		}
 	}
 }
 
@@ -272,26 +275,28 @@
 // usual. The region's targets fill up while its objects run for the first time, and a quarter of all requests
 // went to other regions than the ones before them, over links and onto targets that others use.
 func TestAFullRegionShiftsNoMoreThanIsAllowed(t *testing.T) {
-	movesOf := func(most float64) float64 {
+	movesOf := func(most float64, waits bool) float64 {
 		v := fleet(2)
 		for _, id := range []string{"c1-1", "c2-1"} {
 			v.Apply(pafleet.TargetGone{ID: id, Revision: 1000}, begin)
 		}
 		r := newReplay(v, 12)
-		r.slow = 2
+		r.slow, r.waits = 2, waits
 		for _, s := range r.steers {
 			s.Config.MaxShift = most
 		}
 		r.run(func(int) int { return 45 }, 12)
 		return r.moves(12)
 	}
-	free, bounded := movesOf(0), movesOf(0.15)
-	t.Logf("went to another region within 2 s: %.2f without a bound, %.2f with one of 0.15", free, bounded)
-	if free < 0.2 {
-		t.Errorf("only %.2f moved without a bound: the load shows nothing", free)
-	}
-	if bounded > 0.15 {
-		t.Errorf("%.2f moved, more than the bound of 0.15", bounded)
+	for _, waits := range []bool{false, true} {
+		free, bounded := movesOf(0, waits), movesOf(0.15, waits)
+		t.Logf("went to another region within 2 s: %.2f without a bound, %.2f with one of 0.15", free, bounded)
+		if free < 0.2 {
+			t.Errorf("only %.2f moved without a bound: the load shows nothing", free)
+		}
+		if bounded > 0.15 {
+			t.Errorf("%.2f moved, more than the bound of 0.15", bounded)
+		}
 	}
 }
 
