--- a/pamember/member.go
+++ b/pamember/member.go
@@ -342,45 +342,6 @@
 	m.version++
 }
 
-// join asks seeds: some a round while no other member is known, then now and then one that is not a live member.
-func (m *Member) join(now time.Time, out *Output) {
-	tries, every := 1, seedEvery
-	if len(m.index.region)+len(m.index.others) == 0 {
-		tries, every = joinTries, Round
-	}
-	if len(m.seeds) == 0 || !m.isDue(now, &m.due.seed, every) {
-		return
-	}
-	for range tries {
-		s := m.pickSeed()
-		if s.PeerAddress.IsValid() {
-			out.Send = append(out.Send, Envelope{To: s.Name, Address: s.PeerAddress, Message: m.gossipMessage(nil)})
-		}
-	}
-}
-
-// pickSeed returns a random seed that is not a live member, if a few draws find one. It prefers one that is not known
-// as gone either, and in half of the draws the own region.
-func (m *Member) pickSeed() Seed {
-	const draws = 8
-	var found Seed
-	for i := range draws {
-		s := m.seeds[m.random.IntN(len(m.seeds))]
-		e := m.entries[s.Name]
-		if s.Name == m.self.Name || s.PeerAddress == m.self.PeerAddress || m.usable(e) {
-			continue
-		}
-		found = s
-		if e != nil && e.record.State.Gone() {
-			continue
-		}
-		if i >= draws/2 || s.Region == m.self.Region {
-			break
-		}
-	}
-	return found
-}
-
 // usable reports whether an entry is a member to talk to: not gone, and its zone heard of.
 func (m *Member) usable(e *entry) bool {
 	return e != nil && !e.record.State.Gone() && (e.zone == nil || !e.zone.silent())
@@ -415,11 +376,3 @@
 	clear(m.index.all[len(kept):])
 	m.index.all = kept
 }
-
-// pick returns a random entry, or nil of none.
-func pick(r *rand.Rand, all []*entry) *entry {
-	if len(all) == 0 {
-		return nil
-	}
-	return all[r.IntN(len(all))]
-}
--- a/papayahead/main.go
+++ b/papayahead/main.go
@@ -1,4 +1,3 @@
-// Command papayahead is the daemon of an entry VM and the operators' commands.
 package main
 
 import (
--- a/papayastand/main.go
+++ b/papayastand/main.go
@@ -1,5 +1,3 @@
-// Command papayastand runs the stand-ins for what surrounds the system: targets and callers, as
-// processes for tests and demonstrations.
 package main
 
 import (
--- a/pascenario/scenario_test.go
+++ b/pascenario/scenario_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/gravitational/trace"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -82,6 +83,9 @@
 var demo = flag.String("demo", "", "deployment to demonstrate: instituto or kartuli")
 
 func setup(e *testscript.Env) error {
+	if *network > 0 && (*network < firstNet || *network >= firstNet+netCount) {
+		return trace.BadParameter("network %d: want %d to %d", *network, firstNet, firstNet+netCount-1)
+	}
 	Setup(e, &World{Launch: launch, Examples: "../examples", FirstNetwork: byte(*network)})
 	return nil
 }
--- /dev/null
+++ b/pashift/world_test.go
@@ -0,0 +1,169 @@
+package pashift
+
+import (
+	"math"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"papayahead/pabundle"
+)
+
+const (
+	service   = pabundle.ServiceName("deposits")
+	capShare  = 0.2
+	capWindow = time.Minute
+	tick      = 500 * time.Millisecond
+)
+
+var (
+	names = []pabundle.RegionName{"centro", "norte", "occidente"}
+	epoch = time.Date(2026, 9, 1, 0, 0, 0, 0, time.UTC)
+)
+
+// bundle sends the given part of each region's requests home and the rest to its successors.
+func bundle(rows ...[]float64) *pabundle.Bundle {
+	b := &pabundle.Bundle{Services: []pabundle.Service{{
+		Name:  service,
+		Shift: pabundle.ShiftCap{Share: capShare, Window: pabundle.Duration{Duration: capWindow}},
+	}}}
+	for i, from := range names {
+		b.Regions = append(b.Regions, pabundle.Region{Name: from})
+		for j, x := range rows[i%len(rows)] {
+			to := names[(i+j)%len(names)]
+			b.Services[0].Shares = append(b.Services[0].Shares, pabundle.Share{From: from, To: to, Share: x})
+		}
+	}
+	return b
+}
+
+// daemon is a limiter with a clock of its own and the memory of the oracle.
+type daemon struct {
+	limiter  *Limiter
+	table    *Table
+	offset   time.Duration
+	seen     int // roll-outs seen
+	cut      bool
+	thaw     time.Time
+	displace bool // it was held up since it started, so it may lag behind the schedule
+	jump     bool // it has just started
+	history  []sample
+}
+
+type sample struct {
+	at     time.Time
+	shares [3][3]float64
+	down   [3]bool
+}
+
+type world struct {
+	now     time.Time
+	rolls   []Roll
+	down    [3]bool
+	load    [3]float64
+	silent  bool
+	daemons [3]*daemon
+}
+
+// boot starts a daemon, in reach of its neighbours or alone.
+func (w *world) boot(d *daemon, offset time.Duration, alone bool) {
+	d.offset, d.thaw = offset, time.Time{}
+	d.limiter, d.table = &Limiter{}, nil
+	if !d.cut {
+		d.seen = len(w.rolls)
+	}
+	d.limiter.Adopt(w.rolls[d.seen-1], w.now.Add(offset))
+	for _, n := range w.daemons {
+		if n != nil && n != d && n.table != nil && !alone && !n.cut && !d.cut && !w.now.Before(n.thaw) {
+			d.limiter.Follow(service, n.table.Standing(service))
+			d.history = append([]sample(nil), n.history...)
+			d.displace, d.jump = n.displace, true
+			return
+		}
+	}
+	d.jump = true
+	if d.displace {
+		// Alone and without memory, only the schedule is left; LIMITS.md lists this.
+		d.history, d.displace = nil, false
+	}
+}
+
+func (w *world) step(t *rapid.T) {
+	w.now = w.now.Add(tick)
+	for i, d := range w.daemons {
+		if w.now.Before(d.thaw) {
+			continue
+		}
+		clock := w.now.Add(d.offset)
+		if !d.cut && d.seen < len(w.rolls) {
+			d.seen = len(w.rolls)
+			d.limiter.Adopt(w.rolls[d.seen-1], clock)
+		}
+		for r, name := range names {
+			if !w.silent {
+				d.limiter.Observe(clock, service, name, Reading{At: clock, Down: w.down[r], Load: w.load[r]})
+			}
+		}
+		d.table = d.limiter.Step(clock)
+		d.displace = d.displace || w.down != [3]bool{} || w.load != [3]float64{}
+		d.check(t, i, w.now)
+	}
+}
+
+// check compares the position with all those of the last window.
+func (d *daemon) check(t *rapid.T, i int, now time.Time) {
+	s := sample{at: now}
+	p := d.table.services[service]
+	for a := range names {
+		s.down[a] = d.limiter.services[service].health[a].down
+		sum := 0.0
+		for b := range names {
+			s.shares[a][b] = p.rows[a][b]
+			sum += p.rows[a][b]
+			rest := 1 - p.lookUps[a].sum() + p.lookUps[a][a]
+			l, f := p.lookUps[a][b], p.forwards[a][b]
+			if a != b && math.Max(f, l+f*rest) > p.rows[a][b]+1e-6 {
+				t.Fatalf("daemon %d: look-ups %.4f and forwarding %.4f pass the share %.4f", i, l, f, p.rows[a][b])
+			}
+		}
+		if sum > 1+1e-9 {
+			t.Fatalf("daemon %d: the shares of %s add up to %.6f", i, names[a], sum)
+		}
+	}
+	for len(d.history) > 0 && now.Sub(d.history[0].at) > capWindow {
+		d.history = d.history[1:]
+	}
+	var wasDown [3]bool
+	for _, o := range d.history {
+		for b := range names {
+			wasDown[b] = wasDown[b] || o.down[b] || s.down[b]
+		}
+	}
+	if n := len(d.history); n > 0 && !d.jump {
+		d.checkStep(t, i, d.history[n-1], s)
+	}
+	d.jump = false
+	for _, o := range d.history {
+		for a := range names {
+			for b := range names {
+				change := s.shares[a][b] - o.shares[a][b]
+				if change > capShare+1e-9 || -change > capShare+1e-9 && !wasDown[b] {
+					t.Fatalf("daemon %d: %s to %s moved by %+.4f in %v, the cap is %.2f in %v",
+						i, names[a], names[b], change, now.Sub(o.at), capShare, capWindow)
+				}
+			}
+		}
+	}
+	d.history = append(d.history, s)
+}
+
+// checkStep compares the position with that of the step before: no running daemon jumps.
+func (d *daemon) checkStep(t *rapid.T, i int, o, s sample) {
+	for a := range names {
+		for b := range names {
+			if rise := s.shares[a][b] - o.shares[a][b]; rise > capShare/capWindow.Seconds()+1e-9 {
+				t.Fatalf("daemon %d: %s to %s rose by %.4f in one step", i, names[a], names[b], rise)
+			}
+		}
+	}
+}
