pafleet: who began with a listing answers for no removal before it

Cause: a process that starts takes what the store holds at a revision W and has no removals from before. A neighbour at an earlier revision asked it what changed, was told of no removal, and took itself for complete up to W: it never heard of that removal again, nor of an evacuation that ended, an entry VM or a limiter that left. Fix: a view keeps from which revision on it knows all removals, and which span it skipped by a listing; who asks from within gets all that is known instead of the changes. A removal is kept also of a target that the view does not know. Only pafleet raises Revision, and each raise names the revision that it begins at. Why it works: a claim to be complete now needs an unbroken chain of changes, or a whole listing.

--- a/pafleet/delta.go
+++ b/pafleet/delta.go
@@ -10,6 +10,8 @@
 // that say nothing else new are left out: they are most of all writes.
 type Delta struct {
 	Revision Revision
+	// Since is the revision after which all changes are named.
+	Since Revision `json:",omitempty"`
 	// Whole says that what is not named is gone.
 	Whole    bool
 	Config   *paroute.Config `json:",omitempty"`
@@ -31,11 +33,12 @@
 	Revision  Revision
 }
 
-// Delta returns what changed after a revision, and nil where nothing did.
+// Delta returns what changed after a revision, nil where nothing did, and all that is known where not every removal since
+// then is.
 func (v *View) Delta(since Revision, now time.Time) *Delta {
-	d := &Delta{Revision: v.Revision, Whole: since < v.floor || since == 0}
+	d := &Delta{Revision: v.Revision, Since: since, Whole: since == 0 || !v.history.covers(since)}
 	if d.Whole {
-		since = 0
+		since, d.Since = 0, 0
 	}
 	if v.Config != nil && v.ConfigAt > since {
 		d.Config, d.ConfigAt = v.Config, v.ConfigAt
@@ -69,7 +72,8 @@
 		d.Limiter = &LimiterSaid{Name: v.Limiter, Revision: v.LimiterAt}
 	}
 	if !d.Whole {
-		v.removals(d, since)
+		d.Gone = append(d.Gone, v.history.targetsGone(since)...)
+		d.Left = v.entriesLeft(since)
 	}
 	if !d.Whole && d.Config == nil && d.Limiter == nil && len(d.Targets)+len(d.Gone)+len(d.Zones)+len(d.Entries)+len(d.Left) == 0 {
 		return nil
@@ -77,17 +81,14 @@
 	return d
 }
 
-func (v *View) removals(d *Delta, since Revision) {
-	for id, g := range v.gone {
-		if g.revision > since {
-			d.Gone = append(d.Gone, TargetGone{ID: id, Revision: g.revision})
-		}
-	}
-	for name, r := range v.left {
-		if _, back := v.Entries[name]; r > since && !back {
-			d.Left = append(d.Left, EntryGone{Name: name, Revision: r})
+// entriesLeft returns the entry VMs that are not registered any more and were removed after a revision.
+func (v *View) entriesLeft(since Revision) (all []EntryGone) {
+	for name, g := range v.history.left {
+		if _, back := v.Entries[name]; g.revision > since && !back {
+			all = append(all, EntryGone{Name: name, Revision: g.revision})
 		}
 	}
+	return all
 }
 
 // Merge takes a neighbour's delta and says whether anything is new.
@@ -121,10 +122,5 @@
 	if d.Whole {
 		return v.Replace(all, d.Revision, now)
 	}
-	changed := false
-	for _, c := range all {
-		changed = v.Apply(c, now) || changed
-	}
-	v.Revision = max(v.Revision, d.Revision)
-	return changed
+	return v.Follow(all, d.Since, d.Revision, now)
 }
--- a/pafleet/history_test.go
+++ b/pafleet/history_test.go
@@ -23,10 +23,7 @@
 	if d := restarted.Delta(neighbour.Revision, begin); d != nil {
 		neighbour.Merge(d, begin)
 	} else {
-		neighbour.Revision = restarted.Revision
-	}
-	if neighbour.Revision < restarted.Revision {
-		return
+		neighbour.Follow(nil, neighbour.Revision, restarted.Revision, begin)
 	}
 	if neighbour.Targets["left"] != nil {
 		t.Error("the target that left is still used")
@@ -132,9 +129,9 @@
 
 // call is a neighbour's answer that is on its way.
 type modelCall struct {
-	to, lifetime int
-	revision     Revision
-	delta        *Delta
+	to, lifetime    int
+	since, revision Revision
+	delta           *Delta
 }
 
 // modelFleet is some views of one store, which read it and ask each other.
@@ -226,10 +223,11 @@
 		v.Replace(f.store.list(), f.store.revision, f.now)
 		return
 	}
+	var all []Change
 	for _, w := range f.store.since(v.Revision) {
-		v.Apply(w.change, f.now)
+		all = append(all, w.change)
 	}
-	v.Revision = max(v.Revision, f.store.revision)
+	v.Follow(all, v.Revision, f.store.revision, f.now)
 }
 
 // ask puts a neighbour's answer on its way.
@@ -238,7 +236,7 @@
 	if v.Revision <= since {
 		return
 	}
-	f.calls = append(f.calls, modelCall{to: to, lifetime: f.lifetimes[to], revision: v.Revision, delta: v.Delta(since, f.now)})
+	f.calls = append(f.calls, modelCall{to: to, lifetime: f.lifetimes[to], since: since, revision: v.Revision, delta: v.Delta(since, f.now)})
 }
 
 // hear delivers an answer, unless the process that asked is gone.
@@ -251,8 +249,9 @@
 	v := f.views[c.to]
 	if c.delta != nil {
 		v.Merge(c.delta, f.now)
+		return
 	}
-	v.Revision = max(v.Revision, c.revision)
+	v.Follow(nil, c.since, c.revision, f.now)
 }
 
 func (f *modelFleet) check(t *rapid.T) {
--- a/pafleet/view.go
+++ b/pafleet/view.go
@@ -6,15 +6,9 @@
 	"papayahead/paroute"
 )
 
-const (
-	// tombstoneLife is how long a removed target is remembered, so that a late word of its former
-	// lifetime does not bring it back. Source: targets speak every 1.5 s and the store may deliver a
-	// write seconds after it was sent; a minute is far beyond both.
-	tombstoneLife = time.Minute
-	// LapseGrace is how long after the store's return an entry that lapsed meanwhile may take to
-	// come back. Source: the platform's promise of about two seconds, and one reading.
-	LapseGrace = 2500 * time.Millisecond
-)
+// LapseGrace is how long after the store's return an entry that lapsed meanwhile may take to
+// come back. Source: the platform's promise of about two seconds, and one reading.
+const LapseGrace = 2500 * time.Millisecond
 
 // Member is a target as an entry VM knows it.
 type Member struct {
@@ -48,17 +42,8 @@
 	// OutageUntil is the end of the time in which missing entries may be lapses rather than ends.
 	OutageUntil time.Time
 
-	zones map[string]Revision
-	gone  map[string]tombstone
-	left  map[string]Revision
-	// floor is the latest revision of a forgotten removal.
-	floor Revision
-}
-
-type tombstone struct {
-	born, sequence int64
-	revision       Revision
-	at             time.Time
+	zones   map[string]Revision
+	history history
 }
 
 func (v *View) init() {
@@ -70,8 +55,8 @@
 	v.Evacuated = map[string]Revision{}
 	v.Restored = map[string]time.Time{}
 	v.zones = map[string]Revision{}
-	v.gone = map[string]tombstone{}
-	v.left = map[string]Revision{}
+	v.history.gone = map[string]tombstone{}
+	v.history.left = map[string]tombstone{}
 }
 
 // Apply takes one change and says whether anything but a target's sequence is new.
@@ -91,7 +76,7 @@
 	case EntrySaid:
 		return v.applyEntry(c.Entry)
 	case EntryGone:
-		return v.applyEntryGone(c)
+		return v.applyEntryGone(c, now)
 	case LimiterSaid:
 		return v.applyLimiter(c)
 	}
@@ -118,7 +103,7 @@
 }
 
 func (v *View) applyTarget(t Target, now time.Time) bool {
-	if g, ok := v.gone[t.ID]; ok && (t.Born < g.born || t.Born == g.born && t.Sequence <= g.sequence) {
+	if g, ok := v.history.gone[t.ID]; ok && g.outlives(&t) {
 		return false
 	}
 	m := v.Targets[t.ID]
@@ -148,7 +133,12 @@
 
 func (v *View) applyGone(c TargetGone, now time.Time) bool {
 	m := v.Targets[c.ID]
-	if m == nil || m.Revision >= c.Revision {
+	if m == nil {
+		// Those who ask may know it.
+		remember(v.history.gone, c.ID, tombstone{revision: c.Revision, at: now})
+		return false
+	}
+	if m.Revision >= c.Revision {
 		return false
 	}
 	if now.Before(v.OutageUntil) && !m.Draining {
@@ -162,7 +152,7 @@
 }
 
 func (v *View) bury(m *Member, r Revision, now time.Time) {
-	v.gone[m.ID] = tombstone{born: m.Born, sequence: m.Sequence, revision: r, at: now}
+	remember(v.history.gone, m.ID, tombstone{born: m.Born, sequence: m.Sequence, revision: r, at: now})
 	delete(v.Targets, m.ID)
 }
 
@@ -185,21 +175,34 @@
 
 func (v *View) applyEntry(e Entry) bool {
 	old, ok := v.Entries[e.Name]
-	if ok && old.Revision >= e.Revision || v.left[e.Name] >= e.Revision {
+	if ok && old.Revision >= e.Revision || v.history.left[e.Name].revision >= e.Revision {
 		return false
 	}
 	v.Entries[e.Name] = e
 	return !ok || old.Born != e.Born || old.Front != e.Front
 }
 
-func (v *View) applyEntryGone(c EntryGone) bool {
+func (v *View) applyEntryGone(c EntryGone, now time.Time) bool {
 	e, ok := v.Entries[c.Name]
-	if !ok || e.Revision >= c.Revision {
+	if ok && e.Revision >= c.Revision {
 		return false
 	}
-	v.left[c.Name] = c.Revision
+	remember(v.history.left, c.Name, tombstone{revision: c.Revision, at: now})
 	delete(v.Entries, c.Name)
-	return true
+	return ok
+}
+
+// Follow takes all that changed in the store after a revision that the view is complete up to, and up to a later one.
+// Of what begins later the changes are taken, but the view is complete up to no later revision than before.
+func (v *View) Follow(all []Change, since, to Revision, now time.Time) bool {
+	changed := false
+	for _, c := range all {
+		changed = v.Apply(c, now) || changed
+	}
+	if since <= v.Revision {
+		v.Revision = max(v.Revision, to)
+	}
+	return changed
 }
 
 // Replace takes a complete listing of the store at a revision: what it does not name is gone.
@@ -242,6 +245,7 @@
 	if !limiter && v.Limiter != "" {
 		changed = v.Apply(LimiterSaid{Revision: r}, now) || changed
 	}
+	v.history.skip(v.Revision, r)
 	v.Revision = r
 	return changed
 }
@@ -259,11 +263,6 @@
 			changed = true
 		}
 	}
-	for id, g := range v.gone {
-		if now.Sub(g.at) > tombstoneLife {
-			v.floor = max(v.floor, g.revision)
-			delete(v.gone, id)
-		}
-	}
+	v.history.forget(now)
 	return changed
 }
--- a/pagate/follow.go
+++ b/pagate/follow.go
@@ -149,12 +149,13 @@
 	defer cancel()
 	var all []pafleet.Change
 	var r pafleet.Revision
+	since := g.state.Load().revision
 	if whole {
 		g.meter.storeCall("List")
 		all, r, err = g.config.Registry.List(ctx)
 	} else {
 		g.meter.storeCall("Watch")
-		all, r, err = g.config.Registry.Watch(ctx, g.state.Load().revision, wait)
+		all, r, err = g.config.Registry.Watch(ctx, since, wait)
 	}
 	if err != nil {
 		return false, trace.Wrap(err)
@@ -163,7 +164,7 @@
 		// Nothing had changed when the watch ended.
 		at += wait
 	}
-	g.post(ctx, storeRead{changes: all, revision: r, whole: whole, at: at})
+	g.post(ctx, storeRead{changes: all, since: since, revision: r, whole: whole, at: at})
 	return whole || len(all) > 0, nil
 }
 
--- a/pagate/loop.go
+++ b/pagate/loop.go
@@ -13,9 +13,10 @@
 
 // storeRead is what a reading of the store gave.
 type storeRead struct {
-	changes  []pafleet.Change
-	revision pafleet.Revision
-	whole    bool
+	changes []pafleet.Change
+	// The changes are those after since and up to revision.
+	since, revision pafleet.Revision
+	whole           bool
 	// at is the uptime at which nothing newer was in the store.
 	at time.Duration
 }
@@ -103,13 +104,10 @@
 		if e.whole {
 			changed = v.Replace(e.changes, e.revision, now)
 		} else {
-			for _, c := range e.changes {
-				changed = v.Apply(c, now) || changed
-			}
-			v.Revision = max(v.Revision, e.revision)
+			changed = v.Follow(e.changes, e.since, e.revision, now)
 		}
-		if e.revision >= v.Revision && e.at > *knownAt {
-			*knownAt = e.at
+		if e.revision == v.Revision {
+			*knownAt = max(*knownAt, e.at)
 		}
 		return changed
 	case storeFailed:
@@ -122,10 +120,11 @@
 		changed, before := false, v.Revision
 		if e.delta != nil {
 			changed = v.Merge(e.delta, now)
+		} else {
+			v.Follow(nil, e.since, e.revision, now)
 		}
-		if e.revision >= v.Revision && e.knownAt > *knownAt {
-			v.Revision = e.revision
-			*knownAt = e.knownAt
+		if e.revision == v.Revision {
+			*knownAt = max(*knownAt, e.knownAt)
 		}
 		if v.Revision > before {
 			g.noteFollowed(e, v.Revision, now)
--- a/pagate/note_test.go
+++ b/pagate/note_test.go
@@ -73,7 +73,7 @@
 	clock := clockwork.NewFakeClock()
 	r := paevent.NewRecorder(paevent.RecorderConfig{Process: "e", Clock: clock, Log: zerolog.New(&out)})
 	g := New(Config{Settings: Settings{Name: "e"}, Network: unused{}, Clock: clock, Recorder: r})
-	var v pafleet.View
+	v := pafleet.View{Revision: 4}
 	knownAt := longAgo
 	say := func(born int64, since, revision pafleet.Revision) string {
 		out.Reset()
