--- a/pafleet/history_test.go
+++ b/pafleet/history_test.go
@@ -333,3 +333,22 @@
 		t.Errorf("the neighbour has the target in zone %q", got)
 	}
 }
+
+// A target lapsed in an outage of the store and came back; entry VMs that had given it up never used it again.
+func TestNeighbourHearsThatALapsedTargetIsBack(t *testing.T) {
+	var reader, neighbour View
+	for _, v := range []*View{&reader, &neighbour} {
+		v.Replace([]Change{said("t", 1, 1, 5)}, 5, begin)
+	}
+	reader.Outage(begin)
+	reader.Follow([]Change{TargetGone{ID: "t", Revision: 6}}, 5, 6, begin)
+	tell(&reader, &neighbour)
+	if neighbour.Targets["t"] != nil {
+		t.Fatal("the neighbour, which saw no outage, uses a target that is gone")
+	}
+	reader.Follow([]Change{said("t", 1, 2, 7)}, 6, 7, begin.Add(time.Second))
+	tell(&reader, &neighbour)
+	if neighbour.Targets["t"] == nil {
+		t.Error("the neighbour does not use the target that is back")
+	}
+}
