pafleet: neighbours are told that a target registered again after its entry lapsed

Found by TestAViewHoldsWhatTheStoreHeldAtItsRevision. What callers would see: an entry VM that heard of the lapse and not of the return never uses the target again. Cause: who heard both at once, the target's word first, took the word for no change and dropped the removal as older, so that what it told others left the return out. TestNeighbourHearsOfARegistrationAfterALapse failed before. Fix: a removal that a target has outlived marks its registration as new.

--- a/pafleet/history_test.go
+++ b/pafleet/history_test.go
@@ -352,3 +352,19 @@
 		t.Error("the neighbour does not use the target that is back")
 	}
 }
+
+// A target's entry lapsed and came back; the word of the lapse, told later, was dropped, and with it that the target is back.
+func TestNeighbourHearsOfARegistrationAfterALapse(t *testing.T) {
+	var reader, follower, last View
+	for _, v := range []*View{&reader, &follower, &last} {
+		v.Replace([]Change{said("t", 1, 1, 5)}, 5, begin)
+	}
+	lapse := TargetGone{ID: "t", Revision: 6}
+	reader.Follow([]Change{lapse, said("t", 1, 2, 7)}, 5, 7, begin)
+	last.Follow([]Change{lapse}, 5, 6, begin)
+	tell(&reader, &follower)
+	tell(&follower, &last)
+	if last.Targets["t"] == nil {
+		t.Error("the target that is back is not used")
+	}
+}
--- a/pafleet/view.go
+++ b/pafleet/view.go
@@ -139,6 +139,8 @@
 		return false
 	}
 	if m.Revision >= c.Revision {
+		// It registered again, which those who gave it up must hear.
+		m.Changed = max(m.Changed, m.Revision)
 		return false
 	}
 	if now.Before(v.OutageUntil) && !m.Draining {
