pafleet: an old word that nobody is the limiter does not keep one in place

Found by TestAViewHoldsWhatTheStoreHeldAtItsRevision. What callers would see: requests of limited workspaces ask a limiter that gave its place up, and are refused beyond their entry VM's own share until the next claim. Cause: a whole view names the last word on the limiter, and one that says "none" counted as naming one, so that a limiter which came and went while the teller took the store by listings stayed. TestAnOldWordOfNoLimiterNamesNone failed before. Fix: only a word with a name names one. Same class: a removal that a listing implies and the whole view hid.

--- a/pafleet/history_test.go
+++ b/pafleet/history_test.go
@@ -368,3 +368,16 @@
 		t.Error("the target that is back is not used")
 	}
 }
+
+// A limiter claimed its place and left while a neighbour took the store by listings; what that told kept its name in force.
+func TestAnOldWordOfNoLimiterNamesNone(t *testing.T) {
+	var reader, v View
+	reader.Replace([]Change{LimiterSaid{Name: "a", Revision: 2}}, 3, begin)
+	reader.Replace(nil, 5, begin)
+	reader.Replace(nil, 20, begin)
+	v.Replace([]Change{LimiterSaid{Name: "b", Revision: 8}}, 10, begin)
+	tell(&reader, &v)
+	if v.Limiter != "" || v.Revision != 20 {
+		t.Errorf("limiter %q at revision %d", v.Limiter, v.Revision)
+	}
+}
--- a/pafleet/view.go
+++ b/pafleet/view.go
@@ -220,7 +220,7 @@
 		changed = v.Apply(c, now) || changed
 		switch c := c.(type) {
 		case LimiterSaid:
-			limiter = true
+			limiter = c.Name != ""
 		case TargetSaid:
 			targets[c.Target.ID] = true
 		case EntrySaid:
