pafleet: a word that was on its way during a listing does not undo it

What callers would see: an entry VM takes the store whole, by a listing or from a neighbour, and an answer that was asked for before arrives after it and names a target, an evacuation or an entry VM that is gone by then: they are back, and nothing removes them (DRAIN, EVAC, look-ups that name a dead entry VM). Cause: a listing leaves no trace of what it does not name, so that an older word of it is news. TestALateWordDoesNotUndoAListing failed before. Fix: what was written at or before the revision that a view is complete up to is late, and is not taken but from a listing.

--- a/pafleet/change.go
+++ b/pafleet/change.go
@@ -11,7 +11,10 @@
 type Revision uint64
 
 // Change is one thing that was written to the platform's store.
-type Change interface{ sealed() }
+type Change interface {
+	// written returns the revision of the write; 0 is not known.
+	written() Revision
+}
 
 // ConfigWritten is a new version of the configuration.
 type ConfigWritten struct {
@@ -65,15 +68,15 @@
 // WarmKept is what was warm when an entry VM last kept it in the store.
 type WarmKept struct{ Notes []WarmNote }
 
-func (LimiterSaid) sealed()   {}
-func (WarmKept) sealed()      {}
-func (ConfigWritten) sealed() {}
-func (TargetSaid) sealed()    {}
-func (TargetGone) sealed()    {}
-func (ZoneEvacuated) sealed() {}
-func (ZoneRestored) sealed()  {}
-func (EntrySaid) sealed()     {}
-func (EntryGone) sealed()     {}
+func (c LimiterSaid) written() Revision   { return c.Revision }
+func (WarmKept) written() Revision        { return 0 }
+func (c ConfigWritten) written() Revision { return c.Revision }
+func (c TargetSaid) written() Revision    { return c.Target.Revision }
+func (c TargetGone) written() Revision    { return c.Revision }
+func (c ZoneEvacuated) written() Revision { return c.Revision }
+func (c ZoneRestored) written() Revision  { return c.Revision }
+func (c EntrySaid) written() Revision     { return c.Entry.Revision }
+func (c EntryGone) written() Revision     { return c.Revision }
 
 // Target is one lifetime of a target.
 type Target struct {
--- a/pafleet/history_test.go
+++ b/pafleet/history_test.go
@@ -381,3 +381,18 @@
 		t.Errorf("limiter %q at revision %d", v.Limiter, v.Revision)
 	}
 }
+
+// A word that was on its way while the store was listed brought back what the listing had left out.
+func TestALateWordDoesNotUndoAListing(t *testing.T) {
+	var v View
+	v.Replace(nil, 4, begin)
+	late := []Change{
+		said("t", 1, 1, 5), EntrySaid{Entry: Entry{Name: "e", Revision: 6}}, ZoneEvacuated{Zone: "z", Revision: 7},
+		LimiterSaid{Name: "e", Revision: 8},
+	}
+	v.Replace([]Change{said("stays", 1, 1, 3)}, 20, begin)
+	v.Follow(late, 4, 8, begin)
+	if len(v.Targets) != 1 || len(v.Entries) != 0 || len(v.Evacuated) != 0 || v.Limiter != "" {
+		t.Errorf("targets %v, entry VMs %v, evacuated zones %v, limiter %q after late words", v.Targets, v.Entries, v.Evacuated, v.Limiter)
+	}
+}
--- a/pafleet/view.go
+++ b/pafleet/view.go
@@ -59,9 +59,17 @@
 	v.history.left = map[string]tombstone{}
 }
 
-// Apply takes one change and says whether anything but a target's sequence is new.
+// Apply takes one change and says whether anything but a target's sequence is new. What was written before the revision
+// that the view is complete up to comes late, and may have been undone since.
 func (v *View) Apply(c Change, now time.Time) bool {
 	v.init()
+	if r := c.written(); r > 0 && r <= v.Revision {
+		return false
+	}
+	return v.apply(c, now)
+}
+
+func (v *View) apply(c Change, now time.Time) bool {
 	switch c := c.(type) {
 	case ConfigWritten:
 		return v.applyConfig(c)
@@ -217,7 +225,7 @@
 	targets, entries, zones := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	limiter := false
 	for _, c := range all {
-		changed = v.Apply(c, now) || changed
+		changed = v.apply(c, now) || changed
 		switch c := c.(type) {
 		case LimiterSaid:
 			limiter = c.Name != ""
@@ -231,21 +239,21 @@
 	}
 	for id := range v.Targets {
 		if !targets[id] {
-			changed = v.Apply(TargetGone{ID: id, Revision: r}, now) || changed
+			changed = v.apply(TargetGone{ID: id, Revision: r}, now) || changed
 		}
 	}
 	for name := range v.Entries {
 		if !entries[name] {
-			changed = v.Apply(EntryGone{Name: name, Revision: r}, now) || changed
+			changed = v.apply(EntryGone{Name: name, Revision: r}, now) || changed
 		}
 	}
 	for zone := range v.Evacuated {
 		if !zones[zone] {
-			changed = v.Apply(ZoneRestored{Zone: zone, Revision: r}, now) || changed
+			changed = v.apply(ZoneRestored{Zone: zone, Revision: r}, now) || changed
 		}
 	}
 	if !limiter && v.Limiter != "" {
-		changed = v.Apply(LimiterSaid{Revision: r}, now) || changed
+		changed = v.apply(LimiterSaid{Revision: r}, now) || changed
 	}
 	v.history.skip(v.Revision, r)
 	v.Revision = r
