pafleet: changes across a span that the teller skipped are not for those within it

What callers would see: an evacuated zone, or a target that left, used on by an entry VM that took itself for complete. Cause: a reader that lists the store again after it lost the history knows of the span in between only what came of it. It answered those who stood before the span with changes; who had moved into the span while the answer was on its way, or asked one that had followed such an answer, kept what came and went within it. TestWhoIsWithinASkippedSpanNeedsMoreThanChanges failed before. Fix: the answer names the span. Who is within it takes nothing and asks again, which brings all; who follows across it has skipped it too.

--- a/pafleet/delta.go
+++ b/pafleet/delta.go
@@ -12,6 +12,9 @@
 	Revision Revision
 	// Since is the revision after which all changes are named.
 	Since Revision `json:",omitempty"`
+	// Skipped is a span after Since in which what came and went is not named: who is complete up to a revision within
+	// needs more.
+	Skipped *Span `json:",omitempty"`
 	// Whole says that what is not named is gone.
 	Whole    bool
 	Config   *paroute.Config `json:",omitempty"`
@@ -75,7 +78,10 @@
 		d.Gone = append(d.Gone, v.history.targetsGone(since)...)
 		d.Left = v.entriesLeft(since)
 	}
-	if !d.Whole && d.Config == nil && d.Limiter == nil && len(d.Targets)+len(d.Gone)+len(d.Zones)+len(d.Entries)+len(d.Left) == 0 {
+	if s := v.history.skipped; !d.Whole && s.To > since {
+		d.Skipped = &s
+	}
+	if !d.Whole && d.Skipped == nil && d.Config == nil && d.Limiter == nil && len(d.Targets)+len(d.Gone)+len(d.Zones)+len(d.Entries)+len(d.Left) == 0 {
 		return nil
 	}
 	return d
@@ -122,5 +128,12 @@
 	if d.Whole {
 		return v.Replace(all, d.Revision, now)
 	}
+	if s := d.Skipped; s != nil {
+		if s.inside(v.Revision) {
+			return false
+		}
+		v.init()
+		v.history.skip(Span{After: max(s.After, v.Revision), To: s.To})
+	}
 	return v.Follow(all, d.Since, d.Revision, now)
 }
--- a/pafleet/history.go
+++ b/pafleet/history.go
@@ -15,11 +15,15 @@
 	gone, left map[string]tombstone
 	// Every removal after floor is known, but for what came and went within skipped.
 	floor   Revision
-	skipped span
+	skipped Span
 }
 
-// span is what lies after a revision and up to another.
-type span struct{ after, to Revision }
+// Span is what lies after a revision and up to another.
+type Span struct{ After, To Revision }
+
+// inside says whether what came and went in the span may be known to a view that is complete up to a revision: it lies
+// within.
+func (s Span) inside(r Revision) bool { return r > s.After && r < s.To }
 
 // tombstone is a removal. born and sequence are those of a target's last word; 0 is not known.
 type tombstone struct {
@@ -45,19 +49,18 @@
 	all[name] = g
 }
 
-// skip notes that a view went from one revision to another by a listing. Of two skips the earlier one is left behind with
-// all before it.
-func (h *history) skip(from, to Revision) {
-	if from == to {
+// skip notes that a view took a span by its outcome. Of two spans the earlier one is given up with all before it.
+func (h *history) skip(s Span) {
+	if s.After >= s.To || s == h.skipped {
 		return
 	}
-	h.floor = max(h.floor, h.skipped.to)
-	h.skipped = span{after: from, to: to}
+	h.floor = max(h.floor, h.skipped.To)
+	h.skipped = s
 }
 
 // covers says whether a neighbour that is complete up to a revision can be told of all removals since.
 func (h *history) covers(since Revision) bool {
-	return since >= h.floor && (since <= h.skipped.after || since >= h.skipped.to)
+	return since >= h.floor && !h.skipped.inside(since)
 }
 
 // targetsGone returns the removals of targets after a revision.
--- a/pafleet/history_test.go
+++ b/pafleet/history_test.go
@@ -237,7 +237,9 @@
 	if v.Revision <= since {
 		return
 	}
-	f.calls = append(f.calls, modelCall{to: to, lifetime: f.lifetimes[to], since: since, revision: v.Revision, delta: v.Delta(since, f.now)})
+	c := v.answer(since, f.now)
+	c.to, c.lifetime = to, f.lifetimes[to]
+	f.calls = append(f.calls, c)
 }
 
 // hear delivers an answer, unless the process that asked is gone.
@@ -247,12 +249,7 @@
 	if f.lifetimes[c.to] != c.lifetime {
 		return
 	}
-	v := f.views[c.to]
-	if c.delta != nil {
-		v.Merge(c.delta, f.now)
-		return
-	}
-	v.Follow(nil, c.since, c.revision, f.now)
+	f.views[c.to].hear(c, f.now)
 }
 
 func (f *modelFleet) check(t *rapid.T) {
@@ -310,15 +307,22 @@
 	})
 }
 
-// tell lets one view ask another what changed.
-func tell(from, to *View) {
-	if d := from.Delta(to.Revision, begin); d != nil {
-		to.Merge(d, begin)
-	} else {
-		to.Follow(nil, to.Revision, from.Revision, begin)
+// answer returns what a view tells one at a revision; hear lets that one take it.
+func (v *View) answer(since Revision, now time.Time) modelCall {
+	return modelCall{since: since, revision: v.Revision, delta: v.Delta(since, now)}
+}
+
+func (v *View) hear(c modelCall, now time.Time) {
+	if c.delta != nil {
+		v.Merge(c.delta, now)
+		return
 	}
+	v.Follow(nil, c.since, c.revision, now)
 }
 
+// tell lets one view ask another what changed.
+func tell(from, to *View) { to.hear(from.answer(to.Revision, begin), begin) }
+
 // An entry VM that does not read the store kept a target in the availability zone that it had left, past that zone's evacuation.
 func TestNeighbourHearsOfATargetsNewZone(t *testing.T) {
 	var reader, neighbour View
@@ -353,19 +357,18 @@
 	}
 }
 
-// A target's entry lapsed and came back; the word of the lapse, told later, was dropped, and with it that the target is back.
-func TestNeighbourHearsOfARegistrationAfterALapse(t *testing.T) {
-	var reader, follower, last View
-	for _, v := range []*View{&reader, &follower, &last} {
-		v.Replace([]Change{said("t", 1, 1, 5)}, 5, begin)
+// A word that was on its way while the store was listed brought back what the listing had left out.
+func TestALateWordDoesNotUndoAListing(t *testing.T) {
+	var v View
+	v.Replace(nil, 4, begin)
+	late := []Change{
+		said("t", 1, 1, 5), EntrySaid{Entry: Entry{Name: "e", Revision: 6}}, ZoneEvacuated{Zone: "z", Revision: 7},
+		LimiterSaid{Name: "e", Revision: 8},
 	}
-	lapse := TargetGone{ID: "t", Revision: 6}
-	reader.Follow([]Change{lapse, said("t", 1, 2, 7)}, 5, 7, begin)
-	last.Follow([]Change{lapse}, 5, 6, begin)
-	tell(&reader, &follower)
-	tell(&follower, &last)
-	if last.Targets["t"] == nil {
-		t.Error("the target that is back is not used")
+	v.Replace([]Change{said("stays", 1, 1, 3)}, 20, begin)
+	v.Follow(late, 4, 8, begin)
+	if len(v.Targets) != 1 || len(v.Entries) != 0 || len(v.Evacuated) != 0 || v.Limiter != "" {
+		t.Errorf("targets %v, entry VMs %v, evacuated zones %v, limiter %q after late words", v.Targets, v.Entries, v.Evacuated, v.Limiter)
 	}
 }
 
@@ -382,17 +385,45 @@
 	}
 }
 
-// A word that was on its way while the store was listed brought back what the listing had left out.
-func TestALateWordDoesNotUndoAListing(t *testing.T) {
-	var v View
-	v.Replace(nil, 4, begin)
-	late := []Change{
-		said("t", 1, 1, 5), EntrySaid{Entry: Entry{Name: "e", Revision: 6}}, ZoneEvacuated{Zone: "z", Revision: 7},
-		LimiterSaid{Name: "e", Revision: 8},
+// A target registered and left while a reader had lost the store's history; who had heard of it meanwhile followed that reader.
+func TestWhoIsWithinASkippedSpanNeedsMoreThanChanges(t *testing.T) {
+	var reader, asker View
+	reader.Replace(nil, 4, begin)
+	asker.Replace(nil, 4, begin)
+	reader.Replace(nil, 20, begin)
+	late := reader.answer(asker.Revision, begin)
+	asker.Follow([]Change{said("t", 1, 1, 9)}, 4, 10, begin)
+	asker.hear(late, begin)
+	if asker.Revision >= 20 && asker.Targets["t"] != nil {
+		t.Error("the asker took itself for complete with a target that is gone")
+	}
+	tell(&reader, &asker)
+	if asker.Revision != 20 || asker.Targets["t"] != nil {
+		t.Errorf("complete up to %d, targets %v", asker.Revision, asker.Targets)
+	}
+	var behind View
+	behind.Replace([]Change{said("u", 1, 1, 5)}, 6, begin)
+	var follower View
+	follower.Replace(nil, 4, begin)
+	tell(&reader, &follower)
+	tell(&follower, &behind)
+	if behind.Revision != 20 || behind.Targets["u"] != nil {
+		t.Errorf("behind one that followed the reader: complete up to %d, targets %v", behind.Revision, behind.Targets)
 	}
-	v.Replace([]Change{said("stays", 1, 1, 3)}, 20, begin)
-	v.Follow(late, 4, 8, begin)
-	if len(v.Targets) != 1 || len(v.Entries) != 0 || len(v.Evacuated) != 0 || v.Limiter != "" {
-		t.Errorf("targets %v, entry VMs %v, evacuated zones %v, limiter %q after late words", v.Targets, v.Entries, v.Evacuated, v.Limiter)
+}
+
+// A target's entry lapsed and came back; the word of the lapse, told later, was dropped, and with it that the target is back.
+func TestNeighbourHearsOfARegistrationAfterALapse(t *testing.T) {
+	var reader, follower, last View
+	for _, v := range []*View{&reader, &follower, &last} {
+		v.Replace([]Change{said("t", 1, 1, 5)}, 5, begin)
+	}
+	lapse := TargetGone{ID: "t", Revision: 6}
+	reader.Follow([]Change{lapse, said("t", 1, 2, 7)}, 5, 7, begin)
+	last.Follow([]Change{lapse}, 5, 6, begin)
+	tell(&reader, &follower)
+	tell(&follower, &last)
+	if last.Targets["t"] == nil {
+		t.Error("the target that is back is not used")
 	}
 }
--- a/pafleet/view.go
+++ b/pafleet/view.go
@@ -255,7 +255,7 @@
 	if !limiter && v.Limiter != "" {
 		changed = v.apply(LimiterSaid{Revision: r}, now) || changed
 	}
-	v.history.skip(v.Revision, r)
+	v.history.skip(Span{After: v.Revision, To: r})
 	v.Revision = r
 	return changed
 }
