pafleet, platform: a registration after a removal is told by its revision in the store

Found by TestAViewHoldsWhatTheStoreHeldAtItsRevision after 59,067 histories: a target lapsed and registered again in a span that its reader took by a listing, or between two watches that tell only the latest state of a key. What callers would see: an entry VM that heard of the lapse from another never uses the target again. Cause: the same lifetime with a later sequence is no change, so that neighbours were not told. TestNeighbourHearsOfARegistrationThatAListingShows failed before. Fix: the store says at which revision a key was created; a later one than known is a change.

--- a/pafleet/change.go
+++ b/pafleet/change.go
@@ -95,6 +95,8 @@
 	// Sequence counts the target's words in one lifetime.
 	Sequence int64
 	Revision Revision
+	// Registered is the revision at which its entry came into the store, later than a removal before; 0 is not known.
+	Registered Revision `json:",omitempty"`
 }
 
 // Newer says whether t is a later word of the same target than u.
--- a/pafleet/history_test.go
+++ b/pafleet/history_test.go
@@ -76,10 +76,10 @@
 	return all
 }
 
-func (s *modelStore) since(r Revision) (all []modelWord) {
+func (s *modelStore) since(r Revision, latest bool) (all []modelWord) {
 	for _, words := range s.words {
-		for _, w := range words {
-			if w.revision > r {
+		for i, w := range words {
+			if w.revision > r && (!latest || i == len(words)-1) {
 				all = append(all, w)
 			}
 		}
@@ -214,18 +214,22 @@
 	}
 	f.store.write(k, targetValue(next.Born, next.Draining, next.Zone), func(r Revision) Change {
 		next.Revision = r
+		if !present {
+			next.Registered = r
+		}
 		return TargetSaid{Target: next}
 	})
 }
 
-// read lets a view read the store as it does: a whole listing at its start and when the history is lost, or what changed.
-func (f *modelFleet) read(v *View) {
+// read lets a view read the store as it does: a whole listing at its start and when the history is lost, or what changed,
+// where only the latest state of each key may be told.
+func (f *modelFleet) read(v *View, latest bool) {
 	if v.Revision == 0 || v.Revision < f.store.forgotten {
 		v.Replace(f.store.list(), f.store.revision, f.now)
 		return
 	}
 	var all []Change
-	for _, w := range f.store.since(v.Revision) {
+	for _, w := range f.store.since(v.Revision, latest) {
 		all = append(all, w.change)
 	}
 	v.Follow(all, v.Revision, f.store.revision, f.now)
@@ -270,7 +274,7 @@
 	case 0, 1, 2, 3, 4:
 		f.write(t)
 	case 5, 6:
-		f.read(f.views[view()])
+		f.read(f.views[view()], rapid.Bool().Draw(t, "latest"))
 	case 7, 8, 9:
 		f.ask(view(), view())
 	case 10, 11:
@@ -427,3 +431,28 @@
 		t.Error("the target that is back is not used")
 	}
 }
+
+// A target lapsed and registered again while its reader did not look; entry VMs that had given it up never used it again.
+func TestNeighbourHearsOfARegistrationThatAListingShows(t *testing.T) {
+	again := said("t", 1, 2, 7)
+	again.Target.Registered = 7
+	for _, whole := range []bool{false, true} {
+		var reader, gaveUp View
+		for _, v := range []*View{&reader, &gaveUp} {
+			v.Replace([]Change{said("t", 1, 1, 5)}, 5, begin)
+		}
+		gaveUp.Follow([]Change{TargetGone{ID: "t", Revision: 6}}, 5, 6, begin)
+		if whole {
+			reader.Replace([]Change{again}, 7, begin)
+		} else {
+			reader.Follow([]Change{again}, 5, 7, begin)
+		}
+		var between View
+		between.Replace([]Change{said("t", 1, 1, 5)}, 5, begin)
+		tell(&reader, &between)
+		tell(&between, &gaveUp)
+		if gaveUp.Targets["t"] == nil {
+			t.Errorf("a listing %v: the target that is back is not used", whole)
+		}
+	}
+}
--- a/pafleet/view.go
+++ b/pafleet/view.go
@@ -126,7 +126,7 @@
 	fresh := t.Born != m.Born
 	// A target that said that it leaves stays leaving for this lifetime.
 	t.Draining = t.Draining || !fresh && m.Draining
-	changed := fresh || !m.Lapsed.IsZero() || t.Draining != m.Draining || t.Address != m.Address || t.Slots != m.Slots || t.Service != m.Service || t.Zone != m.Zone
+	changed := fresh || !m.Lapsed.IsZero() || t.Registered > m.Registered || t.Draining != m.Draining || t.Address != m.Address || t.Slots != m.Slots || t.Service != m.Service || t.Zone != m.Zone
 	m.Target = t
 	m.Lapsed = time.Time{}
 	if until := now.Add(t.ColdLeft); t.ColdLeft > 0 || fresh {
--- a/paplatform/memory_change.go
+++ b/paplatform/memory_change.go
@@ -135,6 +135,11 @@
 	m.revision++
 	c.Key = key
 	c.Revision = m.revision
+	if old, ok := m.values[key]; ok && !old.Deleted {
+		c.Created = old.Created
+	} else {
+		c.Created = m.revision
+	}
 	m.values[key] = c
 	m.wake()
 	return m.revision
--- a/paplatform/store.go
+++ b/paplatform/store.go
@@ -22,6 +22,8 @@
 	Key      Key
 	Data     []byte
 	Revision Revision
+	// Created is the revision of the write that created the key, which is later than a removal before it; 0 is not known.
+	Created Revision
 	// Lease is the lease whose end deletes the value, if any.
 	Lease LeaseID
 }
