pafleet: neighbours are told of a later end of a lapsed target

Found by TestAViewHoldsWhatTheStoreHeldAtItsRevision (28,682 histories): while a target counts as lapsed, it comes back as another process and leaves again, and a watch that tells only a key's latest state tells the second removal alone. It kept the revision of the first, so that a neighbour that had heard of the return in between was not told that the target left (DRAIN). The users' store tells each event, so this needs two changes in one call of a store that does not. TestNeighbourHearsOfALaterEndOfALapsedTarget failed before.

--- a/pafleet/history_test.go
+++ b/pafleet/history_test.go
@@ -456,3 +456,17 @@
 		}
 	}
 }
+
+// A target lapsed, came back as another and left, of which its reader heard the end only; neighbours that had it kept it.
+func TestNeighbourHearsOfALaterEndOfALapsedTarget(t *testing.T) {
+	var reader, neighbour View
+	reader.Replace([]Change{said("t", 1, 1, 5)}, 5, begin)
+	reader.Outage(begin)
+	reader.Follow([]Change{TargetGone{ID: "t", Revision: 6}}, 5, 6, begin)
+	neighbour.Replace([]Change{said("t", 2, 1, 7)}, 7, begin)
+	reader.Follow([]Change{TargetGone{ID: "t", Revision: 8}}, 6, 8, begin)
+	tell(&reader, &neighbour)
+	if neighbour.Targets["t"] != nil {
+		t.Error("the neighbour still uses the target that is gone")
+	}
+}
--- a/pafleet/view.go
+++ b/pafleet/view.go
@@ -18,7 +18,7 @@
 	// Lapsed is when the entry was found missing after an outage of the store; zero otherwise. A
 	// lapsed target is used until LapseGrace has passed.
 	Lapsed time.Time
-	// LapseRevision is the revision of the removal.
+	// LapseRevision is the revision of the latest removal.
 	LapseRevision Revision
 	// Changed is the revision of the latest word that said more than that the target lives.
 	Changed Revision
@@ -153,8 +153,9 @@
 	}
 	if now.Before(v.OutageUntil) && !m.Draining {
 		if m.Lapsed.IsZero() {
-			m.Lapsed, m.LapseRevision = now, c.Revision
+			m.Lapsed = now
 		}
+		m.LapseRevision = c.Revision
 		return false
 	}
 	v.bury(m, c.Revision, now)
