pagate: who has no history sends those who ask elsewhere

Now it says that it has no history, and the asker asks the other readers in the same round; everything is asked for, one neighbour at a time, only where what is known is older than an own reading of the store would have left it (both readers started anew, and the store is not reached). Not built: that a process that starts takes the removals that a neighbour knows: its own listing mostly comes first.

--- a/pafleet/delta.go
+++ b/pafleet/delta.go
@@ -36,10 +36,13 @@
 	Revision  Revision
 }
 
-// Delta returns what changed after a revision, nil where nothing did, and all that is known where not every removal since
-// then is.
+// Covers says whether every removal after a revision is known, so that Delta can name what changed since. All that is known
+// can be told to who knows nothing, at revision 0.
+func (v *View) Covers(since Revision) bool { return since == 0 || v.history.covers(since) }
+
+// Delta returns what changed after a revision, nil where nothing did, and all that is known where the view does not cover it.
 func (v *View) Delta(since Revision, now time.Time) *Delta {
-	d := &Delta{Revision: v.Revision, Since: since, Whole: since == 0 || !v.history.covers(since)}
+	d := &Delta{Revision: v.Revision, Since: since, Whole: since == 0 || !v.Covers(since)}
 	if d.Whole {
 		since, d.Since = 0, 0
 	}
--- a/pagate/loop.go
+++ b/pagate/loop.go
@@ -43,7 +43,14 @@
 // deltaWanted asks for what changed after a revision.
 type deltaWanted struct {
 	since pafleet.Revision
-	to    chan<- *pafleet.Delta
+	to    chan<- told
+}
+
+// told is what a neighbour is told of the changes after its revision: a delta, nil where nothing changed.
+type told struct {
+	delta *pafleet.Delta
+	// noHistory says that not every removal since then is known here.
+	noHistory bool
 }
 
 func (storeRead) sealed()      {}
@@ -133,7 +140,11 @@
 	case limiterClaimed:
 		return v.Apply(pafleet.LimiterSaid{Name: g.self.Name, Revision: e.at}, now)
 	case deltaWanted:
-		e.to <- v.Delta(e.since, now)
+		if !v.Covers(e.since) {
+			e.to <- told{noHistory: true}
+			break
+		}
+		e.to <- told{delta: v.Delta(e.since, now)}
 	}
 	return false
 }
--- a/pagate/meter.go
+++ b/pagate/meter.go
@@ -56,6 +56,20 @@
 	}
 }
 
+// told counts what neighbours were told: Nothing, Changes, Whole, or NoHistory where they have to ask another.
+func (m *meter) told(t told) {
+	kind := "Nothing"
+	switch {
+	case t.noHistory:
+		kind = "NoHistory"
+	case t.delta != nil && t.delta.Whole:
+		kind = "Whole"
+	case t.delta != nil:
+		kind = "Changes"
+	}
+	m.set.GetOrCreateCounter(`papayahead_gate_told_total{kind="` + kind + `"}`).Inc()
+}
+
 // followed counts a raise of the revision on a neighbour's word by what the word held: Whole, Changes or Nothing.
 func (m *meter) followed(kind string) {
 	m.set.GetOrCreateCounter(`papayahead_gate_followed_total{kind="` + kind + `"}`).Inc()
--- a/pagate/peers.go
+++ b/pagate/peers.go
@@ -6,6 +6,7 @@
 	"math"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -35,6 +36,8 @@
 	conns map[netip.AddrPort]*peerConn
 	// notes is what may be told of warm objects now.
 	notes budget
+	// wholeAsked says that a neighbour is being asked for everything, for want of history.
+	wholeAsked atomic.Bool
 }
 
 // peer is what calls to a neighbour showed.
@@ -161,25 +164,57 @@
 
 // call exchanges with one neighbour.
 func (p *peers) call(ctx context.Context, e pafleet.Entry) {
+	s := p.gate.state.Load()
+	if r := p.ask(ctx, e, s.revision, p.source(e)); r.GetNoHistory() {
+		p.askElsewhere(ctx, e, s)
+	}
+}
+
+// askElsewhere asks the others that read the store for what a neighbour has no history of. It asks that neighbour for
+// everything only where what is known is older than an own reading of the store would have left it.
+//
+// Load: an entry VM that reads the store starts again, and half a hundred others that follow it stand before its first
+// reading. Harm prevented: it sends each of them everything, over a link of 10 Mbit/s that carries callers' requests too.
+func (p *peers) askElsewhere(ctx context.Context, e pafleet.Entry, s *state) {
+	g := p.gate
+	if g.age(s) > max(maxAge, g.config.Settings.ChangeTime) {
+		if p.wholeAsked.CompareAndSwap(false, true) {
+			p.ask(ctx, e, 0, true)
+			p.wholeAsked.Store(false)
+		}
+		return
+	}
+	for _, r := range g.readers(s) {
+		if r.Name == g.self.Name || r.Name == e.Name {
+			continue
+		}
+		if a := p.ask(ctx, r, s.revision, true); a != nil && !a.GetNoHistory() {
+			return
+		}
+	}
+}
+
+// ask asks a neighbour for what changed since a revision, 0 for everything, or only whether it lives, and returns its
+// answer, or nil.
+func (p *peers) ask(ctx context.Context, e pafleet.Entry, since pafleet.Revision, asked bool) *pawire.SyncReply {
 	c := p.conn(e.Peers)
 	if !c.busy.TryLock() {
-		return
+		return nil
 	}
 	defer c.busy.Unlock()
 	ctx, cancel := p.gate.withTimeout(ctx, syncTimeout)
 	defer cancel()
 	sent := p.gate.uptime()
-	asked := p.source(e)
-	since := p.gate.state.Load().revision
 	r, err := p.exchange(ctx, c, e, since, asked)
 	if err != nil {
 		if c.conn != nil {
 			c.drop(p.gate)
 		}
 		p.failed(e)
-		return
+		return nil
 	}
 	p.take(ctx, c, r, peerSaid{knownAt: sent, since: since, asked: asked})
+	return r
 }
 
 // nothingNew is the revision of a caller that wants to hear of no change.
@@ -251,6 +286,9 @@
 		p.hearWarm(r.GetWarm())
 		c.warm = r.GetWarmLast()
 	}
+	if r.GetNoHistory() {
+		return
+	}
 	// A neighbour cannot know what will be.
 	age := max(0, time.Duration(r.GetAgeMicroseconds())*time.Microsecond)
 	said.from, said.revision = c.entry, pafleet.Revision(r.GetRevision())
@@ -289,12 +327,18 @@
 	if uint64(s.revision) <= q.GetRevision() {
 		return r, nil
 	}
-	d, err := p.delta(ctx, pafleet.Revision(q.GetRevision()))
-	if err != nil || d == nil {
-		return r, trace.Wrap(err)
+	t, err := p.told(ctx, pafleet.Revision(q.GetRevision()))
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	p.gate.meter.told(t)
+	switch {
+	case t.noHistory:
+		r.NoHistory, r.Revision = true, 0
+	case t.delta != nil:
+		r.Revision = uint64(t.delta.Revision)
+		r.Delta, err = pack(t.delta)
 	}
-	r.Revision = uint64(d.Revision)
-	r.Delta, err = pack(d)
 	return r, trace.Wrap(err)
 }
 
@@ -307,14 +351,14 @@
 	}
 }
 
-// delta asks the control loop for what changed.
-func (p *peers) delta(ctx context.Context, since pafleet.Revision) (*pafleet.Delta, error) {
-	to := make(chan *pafleet.Delta, 1)
+// told asks the control loop for what a neighbour is to be told.
+func (p *peers) told(ctx context.Context, since pafleet.Revision) (told, error) {
+	to := make(chan told, 1)
 	p.gate.post(ctx, deltaWanted{since: since, to: to})
 	select {
-	case d := <-to:
-		return d, nil
+	case t := <-to:
+		return t, nil
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return told{}, ctx.Err()
 	}
 }
