--- /dev/null
+++ b/pagate/token.go
@@ -0,0 +1,128 @@
+package pagate
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/gravitational/trace"
+	"storj.io/drpc/drpcconn"
+
+	"papayahead/pafleet"
+	"papayahead/paquota"
+	"papayahead/pawire"
+)
+
+// Take answers an entry VM that asks for tokens.
+func (l *limiter) Take(_ context.Context, q *pawire.TakeRequest) (*pawire.TakeReply, error) {
+	return l.take(q.GetWanted(), q.GetFrom()), nil
+}
+
+// take gives out tokens of the pools; the reply is empty where this entry VM does not keep them.
+func (l *limiter) take(all []*pawire.Wanted, from uint32) *pawire.TakeReply {
+	s := l.gate.state.Load()
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	now := l.gate.uptime()
+	if now >= l.until || s.table == nil {
+		return &pawire.TakeReply{Limiter: l.follows(s, now)}
+	}
+	r := &pawire.TakeReply{Limiter: l.gate.self.Name}
+	for _, w := range all {
+		granted, next := 0, limiterLook
+		if pool := l.pool(s, w.GetWorkspace(), now); pool != nil {
+			wanted := paquota.Wanted{Waiting: int(w.GetWaiting()), Spare: int(w.GetSpare()), From: uint64(from)}
+			granted, next = pool.Take(wanted, now)
+		}
+		r.Granted = append(r.Granted, &pawire.Granted{Tokens: uint32(granted), NextMilliseconds: uint32(next.Milliseconds())})
+	}
+	return r
+}
+
+// pool returns the pool of a workspace as the state divides its limit; nil for one that has none here.
+func (l *limiter) pool(s *state, name string, now time.Duration) *paquota.Pool {
+	w := s.table.Workspace(name)
+	if w == nil || !w.Limited() {
+		delete(l.pools, name)
+		return nil
+	}
+	bucket := l.gate.division(w, s).Pool
+	p := l.pools[name]
+	if p == nil {
+		p = paquota.NewPool(bucket, l.gate.config.Settings.Quota, l.from)
+		l.pools[name] = p
+	}
+	p.Set(bucket, now)
+	return p
+}
+
+// follows returns whom this entry VM takes for the limiter; mutex is held.
+func (l *limiter) follows(s *state, now time.Duration) string {
+	if l.hint != "" && now < l.hintEnd {
+		return l.hint
+	}
+	return s.limiter
+}
+
+// ask takes tokens from the pools, wherever they are kept.
+func (l *limiter) ask(ctx context.Context, s *state, wanted []*pawire.Wanted) ([]*pawire.Granted, error) {
+	g := l.gate
+	l.mutex.Lock()
+	now := g.uptime()
+	here, name := now < l.until, l.follows(s, now)
+	l.mutex.Unlock()
+	if here {
+		return l.take(wanted, l.name).GetGranted(), nil
+	}
+	ctx, cancel := g.withTimeout(ctx, paquota.CallTime)
+	defer cancel()
+	l.calls.Lock()
+	defer l.calls.Unlock()
+	i := slices.IndexFunc(s.entries, func(e pafleet.Entry) bool { return e.Name == name })
+	if i < 0 || name == g.self.Name {
+		return nil, trace.NotFound("no limiter")
+	}
+	c, err := l.connect(ctx, s.entries[i])
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	r, err := pawire.NewDRPCLimitingClient(c).Take(ctx, &pawire.TakeRequest{Wanted: wanted, From: l.name})
+	if err != nil {
+		l.disconnect()
+		return nil, trace.Wrap(err)
+	}
+	if len(r.GetGranted()) != len(wanted) {
+		if other := r.GetLimiter(); other != name {
+			l.follow(other)
+		} else {
+			l.follow("")
+		}
+		return nil, trace.NotFound("%s is not the limiter", name)
+	}
+	return r.GetGranted(), nil
+}
+
+// connect returns a connection to an entry VM; calls is held.
+func (l *limiter) connect(ctx context.Context, e pafleet.Entry) (*drpcconn.Conn, error) {
+	if l.conn != nil && l.connTo == e.Peers.String() {
+		return l.conn, nil
+	}
+	l.disconnect()
+	raw, err := l.gate.dialCounted(ctx, e.Peers, &l.gate.traffic.limiter)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	l.conn, l.connTo = drpcconn.New(raw), e.Peers.String()
+	return l.conn, nil
+}
+
+// disconnect closes the connection to the limiter; calls is held.
+func (l *limiter) disconnect() {
+	if l.conn == nil {
+		return
+	}
+	if err := l.conn.Close(); err != nil {
+		l.gate.meter.peerCloses.Inc()
+	}
+	l.conn = nil
+}
