--- a/pafleet/change.go
+++ b/pafleet/change.go
@@ -107,6 +107,12 @@
 	return t.Sequence > u.Sequence
 }
 
+// differs says whether t says more than u of the same lifetime, beside that the target lives.
+func (t *Target) differs(u *Target) bool {
+	return t.Draining != u.Draining || t.Registered > u.Registered || t.Address != u.Address || t.Slots != u.Slots ||
+		t.Service != u.Service || t.Zone != u.Zone
+}
+
 // Entry is an entry VM as it registered itself.
 type Entry struct {
 	Name   string
--- a/pafleet/delta.go
+++ b/pafleet/delta.go
@@ -12,8 +12,7 @@
 	Revision Revision
 	// Since is the revision after which all changes are named.
 	Since Revision `json:",omitempty"`
-	// Skipped is a span after Since in which what came and went is not named: who is complete up to a revision within
-	// needs more.
+	// Skipped is a span of which only the outcome is named: who is complete up to a revision inside it needs a whole view.
 	Skipped *Span `json:",omitempty"`
 	// Whole says that what is not named is gone.
 	Whole    bool
--- a/pafleet/history.go
+++ b/pafleet/history.go
@@ -21,8 +21,7 @@
 // Span is what lies after a revision and up to another.
 type Span struct{ After, To Revision }
 
-// inside says whether what came and went in the span may be known to a view that is complete up to a revision: it lies
-// within.
+// inside says whether a view that is complete up to a revision may know some of what came and went in the span.
 func (s Span) inside(r Revision) bool { return r > s.After && r < s.To }
 
 // tombstone is a removal. born and sequence are those of a target's last word; 0 is not known.
@@ -49,7 +48,8 @@
 	all[name] = g
 }
 
-// skip notes that a view took a span by its outcome. Of two spans the earlier one is given up with all before it.
+// skip notes that a view knows of a span only what came of it. Of two spans the earlier one is given up, with all before
+// it.
 func (h *history) skip(s Span) {
 	if s.After >= s.To || s == h.skipped {
 		return
--- a/pafleet/view.go
+++ b/pafleet/view.go
@@ -59,8 +59,8 @@
 	v.history.left = map[string]tombstone{}
 }
 
-// Apply takes one change and says whether anything but a target's sequence is new. What was written before the revision
-// that the view is complete up to comes late, and may have been undone since.
+// Apply takes one change and says whether anything but a target's sequence is new. A change that was written at or before
+// the revision that the view is complete up to comes late, may have been undone since, and is not taken.
 func (v *View) Apply(c Change, now time.Time) bool {
 	v.init()
 	if r := c.written(); r > 0 && r <= v.Revision {
@@ -69,6 +69,7 @@
 	return v.apply(c, now)
 }
 
+// apply takes a change of whatever revision.
 func (v *View) apply(c Change, now time.Time) bool {
 	switch c := c.(type) {
 	case ConfigWritten:
@@ -126,7 +127,7 @@
 	fresh := t.Born != m.Born
 	// A target that said that it leaves stays leaving for this lifetime.
 	t.Draining = t.Draining || !fresh && m.Draining
-	changed := fresh || !m.Lapsed.IsZero() || t.Registered > m.Registered || t.Draining != m.Draining || t.Address != m.Address || t.Slots != m.Slots || t.Service != m.Service || t.Zone != m.Zone
+	changed := fresh || !m.Lapsed.IsZero() || t.differs(&m.Target)
 	m.Target = t
 	m.Lapsed = time.Time{}
 	if until := now.Add(t.ColdLeft); t.ColdLeft > 0 || fresh {
--- a/pagate/loop.go
+++ b/pagate/loop.go
@@ -85,6 +85,7 @@
 			return
 		case <-tick.Chan():
 			now = g.config.Clock.Now()
+			g.noted.source = ""
 			changed = v.Expire(now)
 			g.pool.reap(now)
 			g.noteDropped()
--- a/pagate/sync.go
+++ b/pagate/sync.go
@@ -113,7 +113,7 @@
 	return b
 }
 
-// take hands a neighbour's reply to the control loop and to the steering. What was asked is in said, whose knownAt is when.
+// take hands a neighbour's reply to the control loop and to the steering; said holds what was asked, and as knownAt when.
 func (p *peers) take(ctx context.Context, c *peerConn, r *pawire.SyncReply, said peerSaid) {
 	if len(r.GetEntry()) > 0 {
 		if err := json.Unmarshal(r.GetEntry(), &c.entry); err != nil {
