--- a/pagate/sync.go
+++ b/pagate/sync.go
@@ -168,7 +168,7 @@
 	if uint64(s.revision) <= q.GetRevision() {
 		return r, nil
 	}
-	t, err := p.told(ctx, pafleet.Revision(q.GetRevision()))
+	t, err := p.changesSince(ctx, pafleet.Revision(q.GetRevision()))
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -183,8 +183,8 @@
 	return r, trace.Wrap(err)
 }
 
-// told asks the control loop for what a neighbour is to be told.
-func (p *peers) told(ctx context.Context, since pafleet.Revision) (told, error) {
+// changesSince asks the control loop for what a neighbour at a revision is to be told.
+func (p *peers) changesSince(ctx context.Context, since pafleet.Revision) (told, error) {
 	to := make(chan told, 1)
 	p.gate.post(ctx, deltaWanted{since: since, to: to})
 	select {
