--- a/pagate/elsewhere_test.go
+++ b/pagate/elsewhere_test.go
@@ -95,6 +95,8 @@
 	return strings.Contains(out.String(), line)
 }
 
+func (g *Gate) toldWhole() bool { return !g.counted(`told_total{kind="Whole"} 0`) }
+
 // A reader started again, and each of the fifty that follow it took the whole view from it over a narrow link.
 func TestARestartedReaderSendsItsFollowersElsewhere(t *testing.T) {
 	f := newFewGates(t, 3)
@@ -109,7 +111,7 @@
 	if !waitFor(func() bool { return follower.state.Load().revision == 14 }) {
 		t.Fatalf("the follower stands at %d", follower.state.Load().revision)
 	}
-	if !restarted.counted(`told_total{kind="NoHistory"} 1`) || restarted.counted(`kind="Whole"`) || reader.counted(`kind="Whole"`) {
+	if !restarted.counted(`told_total{kind="NoHistory"} 1`) || restarted.toldWhole() || reader.toldWhole() {
 		t.Error("somebody told everything, or the restarted reader did not say that it has no history")
 	}
 	if !reader.counted(`told_total{kind="Changes"} 1`) {
@@ -126,7 +128,7 @@
 		f.read(g, true, 14)
 	}
 	follower.peers.call(context.Background(), first.self)
-	if r := follower.state.Load().revision; r != 10 || first.counted(`kind="Whole"`) || second.counted(`kind="Whole"`) {
+	if r := follower.state.Load().revision; r != 10 || first.toldWhole() || second.toldWhole() {
 		t.Fatalf("the follower stands at %d right away, or was told everything", r)
 	}
 	f.clock.Advance(maxAge + time.Second)
--- a/pagate/meter.go
+++ b/pagate/meter.go
@@ -9,6 +9,7 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"papayahead/paevent"
+	"papayahead/pafleet"
 	"papayahead/pasteer"
 )
 
@@ -35,6 +36,11 @@
 	m.shifted = m.set.NewCounter("papayahead_gate_shifted_requests_total")
 	m.held = m.set.NewCounter("papayahead_gate_held_requests_total")
 	m.unlogged = m.set.NewCounter("papayahead_gate_requests_unlogged_total")
+	for _, kind := range []string{wordNothing, wordChanges, wordWhole} {
+		m.wordTold(kind).Set(0)
+		m.wordFollowed(kind).Set(0)
+	}
+	m.wordTold(wordNoHistory).Set(0)
 	m.set.NewGauge("papayahead_gate_requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	m.set.NewGauge("papayahead_gate_configuration_version", func() float64 { return float64(g.state.Load().configVersion()) })
 	m.set.NewGauge("papayahead_gate_store_age_seconds", func() float64 { return g.age(g.state.Load()).Seconds() })
@@ -56,23 +62,33 @@
 	}
 }
 
-// told counts what neighbours were told: Nothing, Changes, Whole, or NoHistory where they have to ask another.
-func (m *meter) told(t told) {
-	kind := "Nothing"
+// The kinds of what neighbours tell of changes in the store.
+const (
+	wordNothing   = "Nothing"
+	wordChanges   = "Changes"
+	wordWhole     = "Whole"
+	wordNoHistory = "NoHistory"
+)
+
+// wordOf returns the kind of a delta, which is nil where nothing changed.
+func wordOf(d *pafleet.Delta) string {
 	switch {
-	case t.noHistory:
-		kind = "NoHistory"
-	case t.delta != nil && t.delta.Whole:
-		kind = "Whole"
-	case t.delta != nil:
-		kind = "Changes"
+	case d == nil:
+		return wordNothing
+	case d.Whole:
+		return wordWhole
 	}
-	m.set.GetOrCreateCounter(`papayahead_gate_told_total{kind="` + kind + `"}`).Inc()
+	return wordChanges
+}
+
+// wordTold counts answers to neighbours that asked what changed.
+func (m *meter) wordTold(kind string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`papayahead_gate_told_total{kind="` + kind + `"}`)
 }
 
-// followed counts a raise of the revision on a neighbour's word by what the word held: Whole, Changes or Nothing.
-func (m *meter) followed(kind string) {
-	m.set.GetOrCreateCounter(`papayahead_gate_followed_total{kind="` + kind + `"}`).Inc()
+// wordFollowed counts neighbours' words that raised the revision.
+func (m *meter) wordFollowed(kind string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`papayahead_gate_followed_total{kind="` + kind + `"}`)
 }
 
 // limit counts a request of a workspace with a rate limit by what it got its token from, or why it got none.
--- a/pagate/note.go
+++ b/pagate/note.go
@@ -130,16 +130,12 @@
 // noteFollowed logs that a neighbour's word raised the revision, if it named something or comes from another process than
 // the last such word.
 func (g *Gate) noteFollowed(p peerSaid, r pafleet.Revision, now time.Time) {
-	kind, from := "Nothing", lifetime{name: p.from.Name, born: p.from.Born}
+	from := lifetime{name: p.from.Name, born: p.from.Born}
 	e := paevent.NeighbourFollowed{Entry: from.name, Born: from.born, Since: uint64(p.since), Revision: uint64(r)}
 	if d := p.delta; d != nil {
-		kind = "Changes"
-		if d.Whole {
-			kind = "Whole"
-		}
 		e.Whole, e.Targets, e.Gone, e.Entries, e.Left, e.Zones = d.Whole, len(d.Targets), len(d.Gone), len(d.Entries), len(d.Left), len(d.Zones)
 	}
-	g.meter.followed(kind)
+	g.meter.wordFollowed(wordOf(p.delta)).Inc()
 	if p.delta == nil && g.noted.followed == from {
 		return
 	}
--- a/pagate/sync.go
+++ b/pagate/sync.go
@@ -172,14 +172,16 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	p.gate.meter.told(t)
+	kind := wordOf(t.delta)
 	switch {
 	case t.noHistory:
+		kind = wordNoHistory
 		r.NoHistory, r.Revision = true, 0
 	case t.delta != nil:
 		r.Revision = uint64(t.delta.Revision)
 		r.Delta, err = pack(t.delta)
 	}
+	p.gate.meter.wordTold(kind).Inc()
 	return r, trace.Wrap(err)
 }
 
