--- a/paevent/stand.go
+++ b/paevent/stand.go
@@ -1,7 +1,7 @@
 package paevent
 
 // standEvents are numbers 7001 to 7999: stand-ins.
-var standEvents = []Event{FaultsInjected{}, CallersDone{}, StandInTold{}}
+var standEvents = []Event{FaultsInjected{}, CallersDone{}, StandInTold{}, AttemptLost{}}
 
 // FaultsInjected reports that a stand-in target changed its behaviour.
 type FaultsInjected struct {
@@ -39,3 +39,18 @@
 }
 
 func (StandInTold) sealed() {}
+
+// AttemptLost reports a stand-in caller's attempt that ended without an answer.
+type AttemptLost struct {
+	Request, Entry string
+	// Reused says that the connection had carried a request before.
+	Reused bool
+	Reason string
+}
+
+// Kind returns the catalogue's entry.
+func (AttemptLost) Kind() Kind {
+	return Kind{Number: 7004, Name: "AttemptLost", Level: Warning, Text: "A stand-in caller's attempt ended without an answer."}
+}
+
+func (AttemptLost) sealed() {}
--- a/papayastand/callers.go
+++ b/papayastand/callers.go
@@ -70,12 +70,12 @@
 	}
 	transport := &http.Transport{DialContext: dial.DialContext, MaxIdleConnsPerHost: maxIdleConnections, DisableCompression: true}
 	defer transport.CloseIdleConnections()
+	recorder := newRecorder("callers " + c.String("name"))
 	callers := &pastand.Callers{
 		Entries: c.StringSlice("entry"), Addresses: addresses, Loads: loads,
 		Duration: c.Duration("duration"), Name: c.String("name"), Clock: clockwork.NewRealClock(),
-		Random: rand.New(rand.NewPCG(c.Uint64("seed"), 0)), Transport: transport,
+		Random: rand.New(rand.NewPCG(c.Uint64("seed"), 0)), Transport: transport, Recorder: recorder,
 	}
-	recorder := newRecorder("callers " + c.String("name"))
 	recorder.Record(paevent.Started{Role: "callers"})
 	if a := c.String("operators"); a != "" {
 		served, stop := context.WithCancel(ctx)
--- a/pascenario/commands.go
+++ b/pascenario/commands.go
@@ -133,6 +133,9 @@
 	w.logReport(ts, a[0], r)
 	for _, c := range a[1:] {
 		if err := Expect(r, c); err != nil {
+			for _, l := range w.lostAttempts(a[0]) {
+				ts.Logf("%s", l)
+			}
 			return err
 		}
 	}
--- a/pascenario/reasons.go
+++ b/pascenario/reasons.go
@@ -6,10 +6,13 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strings"
 
 	"papayahead/paentry"
+	"papayahead/paevent"
 )
 
 // requestsMetric begins the lines of the counter of requests by service, outcome and reason.
@@ -52,3 +55,27 @@
 		}
 	}
 }
+
+// lostMost bounds the lost attempts that a failed check shows.
+const lostMost = 20
+
+// lostAttempts returns the load's first attempts that ended without an answer, as its log has them.
+func (w *World) lostAttempts(name string) []string {
+	f, err := os.Open(filepath.Join(w.directory, name+".log"))
+	if err != nil {
+		return []string{err.Error()}
+	}
+	defer f.Close()
+	records, _, err := paevent.ReadLog(f)
+	if err != nil {
+		return []string{err.Error()}
+	}
+	lost := paevent.AttemptLost{}.Kind()
+	var all []string
+	for _, r := range records {
+		if r.Number == lost.Number && len(all) < lostMost {
+			all = append(all, fmt.Sprintf("%s %s %s", r.Stamp, r.Name, r.Event))
+		}
+	}
+	return all
+}
--- a/pastand/attempt.go
+++ b/pastand/attempt.go
@@ -14,6 +14,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"papayahead/paevent"
 )
 
 // End is how a request ended for its caller.
@@ -126,14 +128,20 @@
 // try sends the request to one entry VM.
 func (c *Callers) try(ctx context.Context, q request, entry string, deadline time.Time) attempt {
 	left := deadline.Sub(c.Clock.Now())
-	var wrote atomic.Bool
-	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { wrote.Store(true) }})
+	var wrote, reused atomic.Bool
+	traced := httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		wrote.Store(true)
+		reused.Store(i.Reused)
+	}})
 	r, err := newHTTPRequest(traced, q, entry, left)
 	if err != nil {
 		return attempt{end: EndLost, unsent: true}
 	}
 	response, err := c.Transport.RoundTrip(r)
 	if err != nil {
+		if c.Recorder != nil {
+			c.Recorder.Record(paevent.AttemptLost{Request: q.identity, Entry: entry, Reused: reused.Load(), Reason: err.Error()})
+		}
 		return attempt{end: EndLost, unsent: !wrote.Load()}
 	}
 	defer response.Body.Close()
--- a/pastand/callers.go
+++ b/pastand/callers.go
@@ -11,6 +11,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"papayahead/pabundle"
+	"papayahead/paevent"
 )
 
 // Load is an open-loop stream of requests for one service: each has an intended start, whatever
@@ -62,6 +63,8 @@
 	Clock     clockwork.Clock
 	Random    *rand.Rand
 	Transport http.RoundTripper
+	// Recorder, if set, takes the attempts without an answer.
+	Recorder *paevent.Recorder
 
 	mutex  sync.Mutex
 	people []*caller
