paentry: a planned stop leaves connections open until their next answer

Cause: when its stop began the daemon told net/http to keep no connections alive, which closes at once those without a request, also those with one on its way. TestAPlannedStopServesWhatIsOnItsWay failed before: connection reset by peer. Why it works: a connection ends with an answer that says so, and callers know of the end before they send more.

--- a/paentry/daemon.go
+++ b/paentry/daemon.go
@@ -181,8 +181,7 @@
 // serveHTTP serves until the context ends, and then until what is under way has been written: the
 // last piece of an answer may still stand in net/http when its request is over.
 func (d *Daemon) serveHTTP(ctx context.Context, l net.Listener, h http.Handler) {
-	server := paproxy.Limits{}.Server(h)
-	d.onDrain(func() { server.SetKeepAlivesEnabled(false) })
+	server := paproxy.Limits{}.Server(d.closing(h))
 	flushed := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(flushed)
@@ -202,11 +201,16 @@
 // flushLimit bounds the writing of what net/http still holds after the last request has ended.
 const flushLimit = 2 * time.Second
 
-// onDrain runs f when the graceful shutdown begins.
-func (d *Daemon) onDrain(f func()) {
-	d.spawn(func() {
-		<-d.draining
-		f()
+// closing ends each connection with its next answer once the graceful shutdown has begun. The connections without a
+// request stay open until then: a caller's next one may be on its way.
+func (d *Daemon) closing(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		select {
+		case <-d.draining:
+			w.Header().Set("Connection", "close")
+		default:
+		}
+		h.ServeHTTP(w, r)
 	})
 }
 
--- a/paentry/daemon_test.go
+++ b/paentry/daemon_test.go
@@ -1,6 +1,7 @@
 package paentry_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -196,6 +197,42 @@
 	return outcome
 }
 
+// A planned stop closed the connections without a request at once, also those with one on its way.
+func TestAPlannedStopServesWhatIsOnItsWay(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t)
+	f.roll(g)
+	g.Eventually(func() string { return f.ask(1, http.MethodGet, "") }).WithTimeout(10 * time.Second).Should(Equal("Answered"))
+	h := &panetwork.Host{Network: f.network, Address: netip.MustParseAddr("10.1.0.9")}
+	c, err := h.Dial(context.Background(), "tcp", f.entries[1].Callers.String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer c.Close()
+	answers := bufio.NewReader(c)
+	send := func() (status int, last bool, err error) {
+		if _, err := io.WriteString(c, "GET /Services/deposits/?Size=100 HTTP/1.1\r\nHost: deposits\r\n\r\n"); err != nil {
+			return 0, false, err
+		}
+		r, err := http.ReadResponse(answers, nil)
+		if err != nil {
+			return 0, false, err
+		}
+		defer r.Body.Close()
+		_, err = io.Copy(io.Discard, r.Body)
+		return r.StatusCode, r.Close, err
+	}
+	_, last, err := send()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(last).To(BeFalse())
+	f.stop[1]()
+	stopping := f.clock.Now()
+	g.Eventually(func() time.Duration { return f.clock.Since(stopping) }).Should(BeNumerically(">", time.Second))
+	status, last, err := send()
+	g.Expect(err).NotTo(HaveOccurred(), "the connection had no request when the stop began")
+	g.Expect(status).To(Equal(http.StatusOK))
+	g.Expect(last).To(BeTrue(), "the answer ends its connection")
+	g.Eventually(f.ended[1]).WithTimeout(20 * time.Second).Should(Receive(BeNil()))
+}
+
 // A program embeds the daemon: seven of them on its own network and clock serve requests, take a
 // roll-out, and one stops gracefully while the others go on.
 func TestSevenDaemonsInOneProcess(t *testing.T) {
