pagate: watches of the store wait a tenth of what a revocation may take, and end in turn

What callers saw: with the store away for 4.5 s all keys were refused for the last 1.7 s of it and 0.4 s more. Cause: a key is out of use once what is known is older than the bound less a watch, and both readers' watches of 1 s ended together, so that up to 1 s had passed since the last one and another 1 s was margin. Change: a watch waits a tenth of the bound where there is one, at most 1 s as before; readers begin theirs in turn. Deployments without a revocation time keep their watches.

--- a/pagate/follow.go
+++ b/pagate/follow.go
@@ -16,16 +16,18 @@
 	// readPace is the least time between two readings of the store: changes that come together, as in a
 	// roll-out of targets, share one call.
 	readPace = 600 * time.Millisecond
-	// watchTime is how long the store is known to have had no change at the most: a watch that waits costs one call
+	// watchMost is how long the store is known to have had no change at the most: a watch that waits costs one call
 	// however long it is, but one whose connection went silent hears nothing for that time.
-	watchTime = time.Second
+	watchMost = time.Second
+	// watchesPerBound is how many watches a bound on the age of what is known has room for.
+	watchesPerBound = 10
 	// maxAge is the age of what is known at which neighbours are asked for more, and the first of them reads the store
 	// in the place of those that should have: a watch, a call by which a neighbour asks, and the ways of both.
-	maxAge = watchTime + syncPace + 500*time.Millisecond
+	maxAge = watchMost + syncPace + 500*time.Millisecond
 	// latestMargin is how long before a change must be in force the last entry VM reads by itself.
 	latestMargin = 300 * time.Millisecond
 	// storeTimeout bounds a call; the store answers in 4 ms, and a silent connection shows no error.
-	storeTimeout = watchTime + 500*time.Millisecond
+	storeTimeout = watchMost + 500*time.Millisecond
 	// readers is how many entry VMs read the store for all, at the least, and entriesPerReader how many ask one
 	// of them in a large deployment: twice a second each, about a hundredth of a core.
 	readers          = 2
@@ -41,7 +43,7 @@
 func (g *Gate) follow(ctx context.Context) {
 	var lostAt time.Time
 	whole := !g.toldAtStart(ctx)
-	wait, fails := watchTime, 0
+	wait, fails := g.watchTime(), 0
 	for ctx.Err() == nil {
 		if !whole && !g.dutyToRead() {
 			g.sleep(ctx, readPace/4)
@@ -69,14 +71,24 @@
 				g.record(paevent.StoreUnreachable{Reason: err.Error()})
 			}
 		}
-		wait = watchTime
+		wait = g.watchTime()
 		if changed || err != nil {
 			g.sleep(ctx, g.pause(fails))
-			wait = watchTime - readPace
+			wait = min(wait, max(0, wait+g.turn(wait)-readPace))
 		}
 	}
 }
 
+// turn is how much later than the first reader of the store this one begins its watches, so that theirs end in turn.
+//
+// Load: the store goes away, and all know what the last watch that ended said. Harm prevented: all readers' watches end
+// together, and the last one was a whole watch ago.
+func (g *Gate) turn(watch time.Duration) time.Duration {
+	all := g.readers(g.state.Load())
+	rank := slices.IndexFunc(all, func(e pafleet.Entry) bool { return e.Name == g.self.Name })
+	return watch * time.Duration(max(0, rank)) / time.Duration(max(1, len(all)))
+}
+
 // pause is the time to the next reading of the store after a number of failures.
 //
 // Load: the store is away, and a hundred entry VMs find what they know too old. Harm prevented: each asks it again
@@ -142,6 +154,15 @@
 	return maxAge + (last-maxAge)*time.Duration(rank)/time.Duration(max(1, n))
 }
 
+// watchTime is how long a watch of the store waits. Keys are out of use once what is known is older than a revocation
+// may take, less a watch: short ones leave more of that time for an outage of the store.
+func (g *Gate) watchTime() time.Duration {
+	if bound := g.config.Settings.RevokeTime; bound > 0 {
+		return min(watchMost, bound/watchesPerBound)
+	}
+	return watchMost
+}
+
 // read reads the store once, waiting for a change if it is no whole reading, and says whether there was one.
 func (g *Gate) read(ctx context.Context, whole bool, wait time.Duration) (changed bool, err error) {
 	at, begun := g.uptime(), g.config.Clock.Now()
--- a/pagate/follow_test.go
+++ b/pagate/follow_test.go
@@ -88,7 +88,7 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if most := int(looks*20*time.Millisecond/watchTime) + 3; r.watches > most {
+	if most := int(looks*20*time.Millisecond/watchMost) + 3; r.watches > most {
 		t.Errorf("%d watches in 3 s of a store without changes, want at most %d", r.watches, most)
 	}
 }
--- a/pagate/key.go
+++ b/pagate/key.go
@@ -13,22 +13,20 @@
 )
 
 const (
-	// staleMargin is how long before a key that was taken away must be out of force everywhere an entry VM stops to
-	// serve on what it knows. A watch that ended early would make what is known look younger by as much as it waits.
-	staleMargin = watchTime
 	// comeBackStale is when a caller should try again, at another entry VM: one of them may be in touch.
 	comeBackStale = 200 * time.Millisecond
 	// keysNamed is how many workspaces a line on changed keys names.
 	keysNamed = 32
 )
 
-// fresh says whether what is known may decide on keys.
+// fresh says whether what is known may decide on keys: until a watch before a key that was taken away must be out of force
+// everywhere. A watch that ended early makes what is known look younger by as much as it waits.
 //
 // Failure prevented: an entry VM is cut off from the store and from all that read it, and serves a key that an operator
 // took away for as long as the cut lasts.
 func (g *Gate) fresh(s *state) bool {
 	bound := g.config.Settings.RevokeTime
-	return bound <= 0 || g.age(s) <= max(0, bound-staleMargin)
+	return bound <= 0 || g.age(s) <= max(0, bound-g.watchTime())
 }
 
 // admitKey takes the credential off a request and finds whose it is; a status is the answer to one that is refused.
