pagate: a limiter that cannot do its work gives its place and its pools up

Cause: the limiter's lease says that it reaches the store, not that others reach it: cut off from them it renewed its claim for as long as the cut lasted; refused by the store it stopped before the claim lapsed, and nobody could follow until then; and two renewals that waited 1.5 s each took a claim of 2.8 s. Change: it leaves its place when it hears fewer than half of the others; shortly before its claim ends it hands its place, lease and pools to one that the store serves, as it does at a stop; a renewal waits half of the time between two. Why the rule holds: it stops first, and what it left is given out by whoever claims within a second; TestNoWindowPassesTheLimit hands pools over too.

--- a/pagate/limiter.go
+++ b/pagate/limiter.go
@@ -21,8 +21,13 @@
 	// limiterLife is how long a claim on the pools outlives its last renewal, limiterRenew the time between two of these.
 	limiterLife  = 3 * time.Second
 	limiterRenew = 900 * time.Millisecond
+	// renewTimeout bounds a renewal. Harm of more: two that a silent store does not answer take most of the claim.
+	renewTimeout = limiterRenew / 2
 	// limiterMargin is how long before its claim may end the limiter stops.
 	limiterMargin = 200 * time.Millisecond
+	// handOverTime is how long before its claim may end a limiter whose renewals fail hands its place over, if others reach
+	// the store: two calls. Harm of more: a store that loses some answers moves the pools again and again.
+	handOverTime = limiterRenew
 	// limiterTurn is how much later each further entry VM claims pools that nobody keeps.
 	limiterTurn = 250 * time.Millisecond
 	// limiterSettle is how long after its start an entry VM claims none: many that start together know few others yet,
@@ -50,6 +55,11 @@
 	pools map[string]*paquota.Pool
 	// until is the uptime at which the claim ends, from the one at which the pools begin to fill.
 	until, from time.Duration
+	// left is what the former limiter's pools held, as of leftAt, for a claim that follows soon.
+	left   map[string]int
+	leftAt time.Duration
+	// alone is the uptime at which the pools were given up because most others could not be reached.
+	alone time.Duration
 	// hint is who is said to follow the limiter, until hintEnd.
 	hint    string
 	hintEnd time.Duration
@@ -61,7 +71,7 @@
 }
 
 func newLimiter(g *Gate) *limiter {
-	return &limiter{gate: g, name: uint32(xxhash.Sum64String(g.self.Name)), free: make(chan struct{}, 1), pools: map[string]*paquota.Pool{}, until: longAgo}
+	return &limiter{gate: g, name: uint32(xxhash.Sum64String(g.self.Name)), free: make(chan struct{}, 1), pools: map[string]*paquota.Pool{}, until: longAgo, alone: longAgo}
 }
 
 // run claims the pools when nobody keeps them, and keeps the claim.
@@ -86,7 +96,7 @@
 		if missing == 0 {
 			missing = max(g.uptime(), g.startedUp+limiterSettle)
 		}
-		if turn := time.Duration(l.rank(s)) * limiterTurn; !own && !told && g.uptime()-missing < turn {
+		if !own && !told && g.uptime()-missing < l.turn(s) {
 			continue
 		}
 		missing = 0
@@ -112,6 +122,15 @@
 	return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name)))
 }
 
+// turn returns how long this entry VM leaves pools that nobody keeps to others.
+func (l *limiter) turn(s *state) time.Duration {
+	turn := time.Duration(l.rank(s)) * limiterTurn
+	if l.wasAlone() {
+		turn += aloneTurn
+	}
+	return turn
+}
+
 // rank returns how many entry VMs come before this one.
 func (l *limiter) rank(s *state) int {
 	all := l.gate.live(s)
@@ -140,6 +159,9 @@
 	}
 	l.mutex.Lock()
 	l.pools, l.from = map[string]*paquota.Pool{}, g.uptime()
+	if l.from-l.leftAt > leftLife {
+		l.left = nil
+	}
 	if was > 0 && g.uptime()-g.startedUp < limiterLife {
 		// Nobody kept them since the process started.
 		l.from = g.startedUp
@@ -156,20 +178,39 @@
 	l.until = begun + max(limiterLife, l.gate.config.Settings.MinLease) - limiterMargin
 }
 
-// keep renews the claim until it ends, and gives it up when the process leaves.
+// keep renews the claim until it ends, and gives it up when the process leaves, reaches too few others, or is refused by
+// a store that serves others.
 func (l *limiter) keep(ctx context.Context, lease paplatform.LeaseID) {
 	g := l.gate
-	for g.sleep(ctx, limiterRenew) && !g.leaving.Load() {
-		begun := g.uptime()
-		err := g.storeCall(ctx, "Renew", func(ctx context.Context) error { return g.config.Registry.Renew(ctx, lease) })
-		if paplatform.FaultOf(err) == paplatform.LeaseLapsed {
-			l.end("the claim lapsed")
+	touched, next := g.uptime(), g.uptime()+limiterRenew
+	// failedAt is when the first of the renewals failed that did since one succeeded.
+	fails, failedAt := 0, time.Duration(0)
+	for g.sleep(ctx, limiterLook) && !g.leaving.Load() {
+		s, now := g.state.Load(), g.uptime()
+		if l.wasAlone() || l.inTouch(s) {
+			touched = now
+		}
+		switch {
+		case now-touched > touchTime:
+			l.giveUp(ctx, lease)
+			return
+		case fails > 0 && s.knownAt > failedAt && l.remaining(now) < handOverTime:
+			l.offer(ctx, lease, l.end("the store serves others"))
 			return
+		case now < next:
+			continue
 		}
-		if err == nil {
-			l.mutex.Lock()
-			l.extend(begun)
-			l.mutex.Unlock()
+		switch err := l.renew(ctx, lease, now); {
+		case paplatform.FaultOf(err) == paplatform.LeaseLapsed:
+			l.end("the claim lapsed")
+			return
+		case err == nil:
+			fails, next = 0, now+limiterRenew
+		default:
+			if fails == 0 {
+				failedAt = now
+			}
+			fails, next = fails+1, now
 		}
 	}
 	if ctx.Err() == nil {
@@ -177,43 +218,38 @@
 	}
 }
 
-// end stops giving out tokens.
-func (l *limiter) end(reason string) {
+// remaining returns how long the claim lasts.
+func (l *limiter) remaining(now time.Duration) time.Duration {
 	l.mutex.Lock()
-	l.until = longAgo
-	l.mutex.Unlock()
-	l.gate.record(paevent.LimiterLost{Reason: reason})
+	defer l.mutex.Unlock()
+	return l.until - now
 }
 
-// handOver gives up the claim and tells the entry VM that comes first to claim it.
-//
-// Load: entry VMs are stopped and started in turn. Harm prevented: until the others read in the store that nobody is
-// the limiter, and one claims it, requests beyond the shares are refused.
-func (l *limiter) handOver(ctx context.Context, lease paplatform.LeaseID) {
-	g := l.gate
-	l.end("shutdown")
-	err := g.storeCall(ctx, "End", func(ctx context.Context) error { return g.config.Registry.End(ctx, lease) })
-	if err != nil {
-		g.record(paevent.StoreUnreachable{Reason: err.Error()})
-		return
-	}
-	next, ok := l.successor()
-	if !ok {
-		return
-	}
-	ctx, cancel := g.withTimeout(ctx, paquota.CallTime)
+// renew renews the claim by a call that begins now.
+func (l *limiter) renew(ctx context.Context, lease paplatform.LeaseID, now time.Duration) error {
+	ctx, cancel := l.gate.withTimeout(ctx, renewTimeout)
 	defer cancel()
-	l.calls.Lock()
-	defer l.calls.Unlock()
-	c, err := l.connect(ctx, next)
+	err := l.gate.storeCall(ctx, "Renew", func(ctx context.Context) error { return l.gate.config.Registry.Renew(ctx, lease) })
 	if err == nil {
-		_, err = pawire.NewDRPCLimitingClient(c).TakeOver(ctx, &pawire.TakeOverRequest{})
+		l.mutex.Lock()
+		l.extend(now)
+		l.mutex.Unlock()
 	}
-	if err != nil {
-		g.peers.failed(next)
-		return
+	return err
+}
+
+// end stops giving out tokens and returns what the pools hold.
+func (l *limiter) end(reason string) (left []*pawire.Left) {
+	l.mutex.Lock()
+	l.until = longAgo
+	for name, p := range l.pools {
+		if n := p.Leave(l.gate.uptime()); n > 0 {
+			left = append(left, &pawire.Left{Workspace: name, Tokens: uint32(n)})
+		}
 	}
-	l.follow(next.Name)
+	l.mutex.Unlock()
+	l.gate.record(paevent.LimiterLost{Reason: reason})
+	return left
 }
 
 // follow takes an entry VM for the limiter before the store's word of it comes.
@@ -222,22 +258,3 @@
 	defer l.mutex.Unlock()
 	l.hint, l.hintEnd = name, l.gate.uptime()+hintLife
 }
-
-// successor returns the first of the other entry VMs.
-func (l *limiter) successor() (pafleet.Entry, bool) {
-	g := l.gate
-	all := slices.DeleteFunc(g.live(g.state.Load()), func(e pafleet.Entry) bool { return e.Name == g.self.Name })
-	if len(all) == 0 {
-		return pafleet.Entry{}, false
-	}
-	return slices.MinFunc(all, byLink), true
-}
-
-// TakeOver answers the limiter that leaves.
-func (l *limiter) TakeOver(context.Context, *pawire.TakeOverRequest) (*pawire.TakeOverReply, error) {
-	select {
-	case l.free <- struct{}{}:
-	default:
-	}
-	return &pawire.TakeOverReply{}, nil
-}
--- a/pagate/peers.go
+++ b/pagate/peers.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// targets returns whom to call: neighbours of the own region, one of those that read the store for all, and the seeds
-// as long as nothing is known.
+// targets returns whom to call: neighbours of the own region, one of those that read the store for all, as the limiter
+// one of each zone, and the seeds as long as nothing is known.
 func (p *peers) targets() []pafleet.Entry {
 	g := p.gate
 	s := g.state.Load()
@@ -90,6 +90,11 @@
 	for _, e := range g.farHeralds(s) {
 		all[e.Peers] = e
 	}
+	if g.limiter.keeping() {
+		for _, e := range g.limiter.samples(s) {
+			all[e.Peers] = e
+		}
+	}
 	if s.table == nil || g.age(s) > 2*maxAge {
 		for _, a := range g.config.Settings.Seeds {
 			if _, ok := all[a]; !ok {
--- a/pagate/token.go
+++ b/pagate/token.go
@@ -50,6 +50,8 @@
 	p := l.pools[name]
 	if p == nil {
 		p = paquota.NewPool(bucket, l.gate.config.Settings.Quota, l.from)
+		p.Put(l.left[name])
+		delete(l.left, name)
 		l.pools[name] = p
 	}
 	p.Set(bucket, now)
--- a/paquota/pool.go
+++ b/paquota/pool.go
@@ -36,6 +36,18 @@
 	return &Pool{level: newLevel(b, 0, t.Window+CallTime, from)}
 }
 
+// Leave empties the pool and returns what one that takes its place may Put. Tokens that come back a time after they were
+// taken are not among them: in the other pool all of them are taken at its start.
+func (p *Pool) Leave(now time.Duration) int {
+	p.level.fill(now)
+	left := int(p.level.flowing)
+	p.level.flowing = 0
+	return left
+}
+
+// Put adds what a pool left that this one takes the place of, as far as it fits.
+func (p *Pool) Put(left int) { p.level.add(left) }
+
 // Set sets the bucket; what is in it stays, as far as it fits.
 func (p *Pool) Set(b Bucket, now time.Duration) { p.level.set(b, now) }
 
--- a/paquota/quota_test.go
+++ b/paquota/quota_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -200,11 +201,23 @@
 		f.tell()
 	}
 	if f.limiter >= 0 && (!f.entries[f.limiter].alive || f.entries[f.limiter].cut || f.random.IntN(8) == 0) {
-		// Its claim ends, and another begins with an empty pool.
-		f.limiter, f.claimAt = -1, f.now+time.Duration(f.random.Int64N(int64(2*time.Second)))
+		f.leave()
 	}
 }
 
+// leave ends the limiter's claim. Another begins with an empty pool, or with what this one left.
+func (f *fleet) leave() {
+	next := f.entries[f.random.IntN(len(f.entries))]
+	if l := f.entries[f.limiter]; l.alive && !l.cut && next.alive && f.random.IntN(2) == 0 {
+		left := f.pool.Leave(f.now)
+		f.limiter = slices.Index(f.entries, next)
+		f.pool = NewPool(f.divide(next.limit, next.known).Pool, f.terms, f.now)
+		f.pool.Put(left)
+		return
+	}
+	f.limiter, f.claimAt = -1, f.now+time.Duration(f.random.Int64N(int64(2*time.Second)))
+}
+
 // most returns the most runs in any window that begins after a time.
 func (f *fleet) most(from time.Duration) int {
 	most, first := 0, 0
