pagate: who knows of no limiter looks for it

What callers saw: 429 for two seconds and more after another entry VM had become the limiter. Cause: the store's word of the former's end and of the next one's claim came 2.3 s apart, as it served few readers; whoever knew of none asked nobody. A limiter whose registration the store had lost was not asked either. Change: those that come first by the order of claims are asked in turn, and answer or say whom they follow; a hint outlives its time where the store's word names nobody; the one asked last is asked on. TestWhoKnowsOfNoLimiterLooksForIt failed before: no limiter.

--- a/pagate/limiter.go
+++ b/pagate/limiter.go
@@ -60,14 +60,15 @@
 	leftAt time.Duration
 	// alone is the uptime at which the pools were given up because most others could not be reached.
 	alone time.Duration
-	// hint is who is said to follow the limiter, until hintEnd.
+	// hint is who is said to follow the limiter, until hintEnd; guess counts whom else it was looked for at.
 	hint    string
 	hintEnd time.Duration
+	guess   int
 
 	// calls guards the connection to the limiter.
 	calls  sync.Mutex
 	conn   *drpcconn.Conn
-	connTo string
+	connTo pafleet.Entry
 }
 
 func newLimiter(g *Gate) *limiter {
--- a/pagate/token.go
+++ b/pagate/token.go
@@ -58,9 +58,10 @@
 	return p
 }
 
-// follows returns whom this entry VM takes for the limiter; mutex is held.
+// follows returns whom this entry VM takes for the limiter; mutex is held. Once hintEnd is past the store's word goes
+// first, unless it names nobody, or this entry VM itself, which knows better.
 func (l *limiter) follows(s *state, now time.Duration) string {
-	if l.hint != "" && now < l.hintEnd {
+	if l.hint != "" && (now < l.hintEnd || s.limiter == "" || s.limiter == l.gate.self.Name) {
 		return l.hint
 	}
 	return s.limiter
@@ -76,37 +77,71 @@
 	if here {
 		return l.take(wanted, l.name).GetGranted(), nil
 	}
+	if name == "" {
+		name = l.likely()
+	}
 	ctx, cancel := g.withTimeout(ctx, paquota.CallTime)
 	defer cancel()
 	l.calls.Lock()
 	defer l.calls.Unlock()
-	i := slices.IndexFunc(s.entries, func(e pafleet.Entry) bool { return e.Name == name })
-	if i < 0 || name == g.self.Name {
+	e, ok := l.reach(s, name)
+	if !ok || name == g.self.Name {
 		return nil, trace.NotFound("no limiter")
 	}
-	c, err := l.connect(ctx, s.entries[i])
-	if err != nil {
-		return nil, trace.Wrap(err)
-	}
-	r, err := pawire.NewDRPCLimitingClient(c).Take(ctx, &pawire.TakeRequest{Wanted: wanted, From: l.name})
+	r, err := l.call(ctx, e, &pawire.TakeRequest{Wanted: wanted, From: l.name})
 	if err != nil {
 		l.disconnect()
+		l.follow("")
 		return nil, trace.Wrap(err)
 	}
 	if len(r.GetGranted()) != len(wanted) {
-		if other := r.GetLimiter(); other != name {
-			l.follow(other)
-		} else {
-			l.follow("")
+		other := r.GetLimiter()
+		if other == name {
+			other = ""
 		}
+		l.follow(other)
 		return nil, trace.NotFound("%s is not the limiter", name)
 	}
 	return r.GetGranted(), nil
 }
 
+// reach returns the entry VM of a name; calls is held. The one that was asked last counts also when its registration has
+// lapsed: the store may have lost its renewals.
+func (l *limiter) reach(s *state, name string) (pafleet.Entry, bool) {
+	if i := slices.IndexFunc(s.entries, func(e pafleet.Entry) bool { return e.Name == name }); i >= 0 {
+		return s.entries[i], true
+	}
+	return l.connTo, l.conn != nil && l.connTo.Name == name
+}
+
+// call asks an entry VM for tokens; calls is held.
+func (l *limiter) call(ctx context.Context, e pafleet.Entry, q *pawire.TakeRequest) (*pawire.TakeReply, error) {
+	c, err := l.connect(ctx, e)
+	if err != nil {
+		return nil, trace.Wrap(err)
+	}
+	r, err := pawire.NewDRPCLimitingClient(c).Take(ctx, q)
+	return r, trace.Wrap(err)
+}
+
+// likely returns, in turn, who is the limiter if anybody is: it answers, or says whom it follows.
+//
+// Load: the limiter's end is known and who followed it is not yet, as the store serves few readers. Harm prevented: all
+// requests beyond the own few tokens are refused until the next word of the store, though there is a limiter.
+func (l *limiter) likely() string {
+	all := l.successors()
+	if len(all) == 0 {
+		return ""
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.guess++
+	return all[l.guess%len(all)].Name
+}
+
 // connect returns a connection to an entry VM; calls is held.
 func (l *limiter) connect(ctx context.Context, e pafleet.Entry) (*drpcconn.Conn, error) {
-	if l.conn != nil && l.connTo == e.Peers.String() {
+	if l.conn != nil && l.connTo.Peers == e.Peers {
 		return l.conn, nil
 	}
 	l.disconnect()
@@ -114,7 +149,7 @@
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	l.conn, l.connTo = drpcconn.New(raw), e.Peers.String()
+	l.conn, l.connTo = drpcconn.New(raw), e
 	return l.conn, nil
 }
 
