--- a/pagate/limiter.go
+++ b/pagate/limiter.go
@@ -23,6 +23,8 @@
 	limiterRenew = 900 * time.Millisecond
 	// renewTimeout bounds a renewal. Harm of more: two that a silent store does not answer take most of the claim.
 	renewTimeout = limiterRenew / 2
+	// renewAgain is the time from one that failed to the next: a store that is busy answers at once.
+	renewAgain = limiterRenew / 3
 	// limiterMargin is how long before its claim may end the limiter stops.
 	limiterMargin = 200 * time.Millisecond
 	// handOverTime is how long before its claim may end a limiter whose renewals fail hands its place over, if others reach
@@ -211,7 +213,7 @@
 			if fails == 0 {
 				failedAt = now
 			}
-			fails, next = fails+1, now
+			fails, next = fails+1, now+renewAgain
 		}
 	}
 	if ctx.Err() == nil {
