--- a/pagate/limiter_test.go
+++ b/pagate/limiter_test.go
@@ -2,9 +2,16 @@
 
 import (
 	"context"
+	"net/netip"
 	"slices"
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
+	"google.golang.org/protobuf/proto"
+
+	"papayahead/pafleet"
+	"papayahead/paquota"
 	"papayahead/paroute"
 	"papayahead/pawire"
 )
@@ -29,3 +36,54 @@
 	}
 	t.Errorf("the limiter is not found: %v", err)
 }
+
+// A message of another entry VM takes more than the pools hold, or makes them hold more than a limit allows.
+func FuzzLimiterMessages(f *testing.F) {
+	seed := func(take *pawire.TakeRequest, over *pawire.TakeOverRequest) {
+		a, err := proto.Marshal(take)
+		if err != nil {
+			f.Fatal(err)
+		}
+		b, err := proto.Marshal(over)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(a, b)
+	}
+	seed(&pawire.TakeRequest{}, &pawire.TakeOverRequest{})
+	seed(&pawire.TakeRequest{Wanted: []*pawire.Wanted{{Workspace: "w", Waiting: 1 << 31, Spare: 1 << 31}, {Workspace: "none", Waiting: 1}, {}}, From: 7},
+		&pawire.TakeOverRequest{Left: []*pawire.Left{{Workspace: "w", Tokens: 1<<32 - 1}, {Workspace: "none", Tokens: 9}, {}}})
+	terms := paquota.Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20}
+	limit := paquota.Limit{Rate: 100, Burst: 100}
+	f.Fuzz(func(t *testing.T, taken, over []byte) {
+		var take pawire.TakeRequest
+		var takeOver pawire.TakeOverRequest
+		if proto.Unmarshal(taken, &take) != nil || proto.Unmarshal(over, &takeOver) != nil || takeOver.GetLease() != "" {
+			return
+		}
+		clock := clockwork.NewFakeClock()
+		g := New(Config{Settings: Settings{Name: "e", Peers: netip.MustParseAddrPort("10.0.0.1:1"), Quota: terms}, Network: unused{}, Clock: clock})
+		table := paroute.NewTable(&paroute.Config{Workspaces: []paroute.Workspace{{Name: "w", Rate: limit.Rate, Burst: limit.Burst}}})
+		g.state.Store(&state{entries: []pafleet.Entry{g.self}, table: table, fleet: 1, registered: true})
+		if _, err := g.limiter.TakeOver(context.Background(), &takeOver); err != nil {
+			t.Fatal(err)
+		}
+		if len(g.limiter.left) > 1 {
+			t.Errorf("%d workspaces are kept of a message, one is known", len(g.limiter.left))
+		}
+		g.limiter.from, g.limiter.until = g.uptime(), g.uptime()+limiterLife
+		granted := 0
+		for range 3 {
+			r := g.limiter.take(take.GetWanted(), take.GetFrom())
+			if len(r.GetGranted()) != len(take.GetWanted()) {
+				t.Fatalf("%d answers to %d", len(r.GetGranted()), len(take.GetWanted()))
+			}
+			for _, n := range r.GetGranted() {
+				granted += int(n.GetTokens())
+			}
+		}
+		if most := paquota.Divide(limit, terms, 1).Pool.Depth; float64(granted) > most {
+			t.Errorf("%d tokens at once, the pool's depth is %.1f", granted, most)
+		}
+	})
+}
--- a/paquota/share.go
+++ b/paquota/share.go
@@ -108,8 +108,9 @@
 	return w
 }
 
-// Granted takes the limiter's answer, whose next is 0 where it had all that was asked for, and returns how many of the requests that wait may run, and how many of those
-// behind them must be refused, since the limiter has nothing more for longer than they may wait.
+// Granted takes the limiter's answer, whose next is 0 where it had all that was asked for, and returns how many of the
+// requests that wait may run, and how many of those behind them must be refused, since the limiter has nothing more for
+// longer than they may wait.
 func (s *Share) Granted(n int, next, patience, now time.Duration) (run, refused int) {
 	s.level.fill(now)
 	run = min(n, s.waiting)
