--- a/paevent/gate.go
+++ b/paevent/gate.go
@@ -153,8 +153,9 @@
 	Target    string `json:",omitempty"`
 	// Object is the affinity key that the caller sent, if any.
 	Object string `json:",omitempty"`
-	// Tried is the number of targets that were tried before this one.
+	// Tried is the number of targets that were tried before this one, Sheds how often a target turned the request away.
 	Tried int
+	Sheds int `json:",omitempty"`
 	// Relays are the entry VMs that the request was handed to because this one's own path to the targets failed; From is
 	// the entry VM that received a request which this one relays.
 	Relays []string `json:",omitempty"`
@@ -414,3 +415,45 @@
 }
 
 func (TargetLimitUnreadable) sealed() {}
+
+// TargetPushback reports that a target asked for no requests from this entry VM for a time.
+type TargetPushback struct {
+	Target, Service string
+	// Seconds is how long it wants none, from now on.
+	Seconds float64
+}
+
+// Kind implements Event.
+func (TargetPushback) Kind() Kind {
+	return Kind{Number: 8028, Name: "TargetPushback", Level: Warning, Text: "A target wants no requests from this VM for a time."}
+}
+
+func (TargetPushback) sealed() {}
+
+// TargetPushbackEnded reports that a target's time without requests from this entry VM is over.
+type TargetPushbackEnded struct {
+	Target, Service string
+	// Seconds is how long it lasted in all.
+	Seconds float64
+}
+
+// Kind implements Event.
+func (TargetPushbackEnded) Kind() Kind {
+	return Kind{Number: 8029, Name: "TargetPushbackEnded", Level: Info, Text: "A target's time without requests from this VM is over."}
+}
+
+func (TargetPushbackEnded) sealed() {}
+
+// TargetPushbackUnreadable reports a time that cannot be read, once for each target.
+type TargetPushbackUnreadable struct {
+	Target string
+	// Value is the beginning of what it said.
+	Value string
+}
+
+// Kind implements Event.
+func (TargetPushbackUnreadable) Kind() Kind {
+	return Kind{Number: 8030, Name: "TargetPushbackUnreadable", Level: Warning, Text: "A target asks for no requests for a time that is no number of seconds; that is ignored."}
+}
+
+func (TargetPushbackUnreadable) sealed() {}
--- a/pagate/answer.go
+++ b/pagate/answer.go
@@ -179,7 +179,7 @@
 	g.record(paevent.RequestEnded{
 		Subject: paevent.Subject{Request: x.id, Service: x.service}, Route: route, Status: status, Reason: reason,
 		Workspace: x.workspaceName(), Target: x.lastChoice.Target, Object: x.object,
-		Tried: len(x.tried), Relays: x.relays, From: from, Failure: string(x.lastFailure), Version: x.version, Microseconds: elapsed.Microseconds(),
+		Tried: len(x.tried), Sheds: x.sheds, Relays: x.relays, From: from, Failure: string(x.lastFailure), Version: x.version, Microseconds: elapsed.Microseconds(),
 		Load: x.lastChoice.Load, Warm: x.lastChoice.Warm, Held: x.lastChoice.Held, BehindMicroseconds: x.pipelineWait.Microseconds(),
 		LimitMicroseconds: x.limitWait.Microseconds(),
 		KnownMilliseconds: g.age(s).Milliseconds(), Revision: uint64(s.revision),
--- a/pagate/forward.go
+++ b/pagate/forward.go
@@ -25,6 +25,9 @@
 		r := g.send(ctx, x, c)
 		g.reportAttempt(x, r)
 		g.noteOutcome(x, c, r, sent)
+		if r.outcome == pasteer.Shed {
+			x.sheds++
+		}
 		switch {
 		case r.reply != nil && !g.takeRetry(x, r):
 			g.writeReply(w, x, r)
--- a/pagate/front.go
+++ b/pagate/front.go
@@ -44,6 +44,8 @@
 	// tried are the targets that the request was sent to; mayHaveExecuted says that one of them may have executed
 	// it. failedReply is the last reply that reported a failure.
 	tried []string
+	// sheds is how often a target turned it away.
+	sheds int
 	// unreached are the targets to which no connection could be opened. relays are the entry VMs that were to relay it, and
 	// failedRelays those of them that did not respond, or cannot.
 	unreached, relays, failedRelays []string
--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -49,6 +49,8 @@
 	quarantine paquarantine.Quarantine
 	// unreadableLimits are the targets that named a limit which is no rate, as logged.
 	unreadableLimits sync.Map
+	// unreadablePushbacks are the targets that asked for no requests for something that is no time, as logged.
+	unreadablePushbacks sync.Map
 	// fleetPeak is the peak number of registered entry VMs; only the control loop uses it.
 	fleetPeak fleetPeak
 	// endLog bounds the log lines on requests that were refused or failed.
--- a/pagate/loop.go
+++ b/pagate/loop.go
@@ -94,6 +94,7 @@
 			g.conns.closeExpired(now)
 			g.relayConns.closeExpired(now)
 			g.logDroppedLines()
+			g.endPushbacks()
 			g.quarantineChanged(g.quarantine.Tick(now))
 			g.logStaleness(g.state.Load())
 			g.clientListener.CloseIdle(now, g.clientLimits().IdleTimeout)
--- /dev/null
+++ b/pagate/pushback.go
@@ -0,0 +1,83 @@
+package pagate
+
+import (
+	"errors"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"papayahead/paevent"
+	"papayahead/pasteer"
+)
+
+// observePushback takes the Retry-After values of a 503 response as soon as its header is read, and reports whether the target asks
+// for no requests. The body may take long to arrive.
+func (g *Gate) observePushback(c pasteer.Choice, values []string) bool {
+	wait, unreadable := parsePushback(values)
+	if unreadable {
+		g.noteUnreadablePushback(c.Target, strings.Join(values, ","))
+	}
+	if wait <= 0 {
+		return false
+	}
+	g.balancerMutex.Lock()
+	now := g.config.Clock.Now()
+	g.balancer.PushBack(c.Target, c.Born, wait, now)
+	changes := g.balancer.PushbackChanges(now)
+	g.balancerMutex.Unlock()
+	g.recordPushbacks(changes)
+	return true
+}
+
+// recordPushbacks logs which targets want no requests from now on, or no longer.
+func (g *Gate) recordPushbacks(all []pasteer.PushbackChange) {
+	for _, c := range all {
+		if c.Ended {
+			g.record(paevent.TargetPushbackEnded{Target: c.Target, Service: c.Service, Seconds: c.Wait.Seconds()})
+		} else {
+			g.record(paevent.TargetPushback{Target: c.Target, Service: c.Service, Seconds: c.Wait.Seconds()})
+		}
+	}
+}
+
+// endPushbacks logs the pushbacks that are over; it is called once a tick.
+func (g *Gate) endPushbacks() {
+	g.balancerMutex.Lock()
+	changes := g.balancer.PushbackChanges(g.config.Clock.Now())
+	g.balancerMutex.Unlock()
+	g.recordPushbacks(changes)
+}
+
+// noteUnreadablePushback logs once for each target that its Retry-After is no number of seconds.
+func (g *Gate) noteUnreadablePushback(target, value string) {
+	if _, known := g.unreadablePushbacks.LoadOrStore(target, true); !known {
+		g.record(paevent.TargetPushbackUnreadable{Target: target, Value: value[:min(len(value), maxLoggedLimit)]})
+	}
+}
+
+// parsePushback parses the values of a Retry-After header. Of several the longest counts, so that each is kept to. A date is
+// unreadable: it would depend on the target's clock.
+func parsePushback(values []string) (longest time.Duration, unreadable bool) {
+	for _, v := range values {
+		wait, ok := parseSeconds(strings.TrimSpace(v))
+		longest, unreadable = max(longest, wait), unreadable || !ok
+	}
+	return longest, unreadable
+}
+
+// parseSeconds parses a decimal number of seconds of at least 0, which may have a fraction and an exponent. One beyond all bounds is
+// pasteer.MaxPushback.
+func parseSeconds(v string) (time.Duration, bool) {
+	if strings.Trim(v, "0123456789.eE+-") != "" {
+		return 0, false // ParseFloat also reads names and hexadecimal numbers.
+	}
+	n, err := strconv.ParseFloat(v, 64)
+	if errors.Is(err, strconv.ErrRange) && n > 0 {
+		err = nil
+	}
+	if err != nil || n < 0 || math.IsNaN(n) {
+		return 0, false
+	}
+	return time.Duration(min(n, pasteer.MaxPushback.Seconds()) * float64(time.Second)), true
+}
--- a/pagate/response.go
+++ b/pagate/response.go
@@ -90,6 +90,9 @@
 	if r.report.LimitUnreadable {
 		a.gate.noteUnreadableLimit(a.choice.Target, strings.Join(limits, ","))
 	}
+	if response.StatusCode == http.StatusServiceUnavailable {
+		r.pushedBack = a.gate.observePushback(a.choice, response.Header.Values(names.RetryAfter))
+	}
 	switch {
 	case response.StatusCode == http.StatusMisdirectedRequest:
 		r.outcome, r.notExecuted = pasteer.Moved, true
--- a/pagate/send.go
+++ b/pagate/send.go
@@ -79,6 +79,8 @@
 	outcome pasteer.Outcome
 	// notExecuted says that the target certainly did not execute the request.
 	notExecuted bool
+	// pushedBack says that the target asked for no requests for a while.
+	pushedBack bool
 	// failure is how the attempt failed, if it got no complete response.
 	failure failure
 	report  pasteer.Report
--- a/pasteer/balancer.go
+++ b/pasteer/balancer.go
@@ -64,6 +64,10 @@
 	limitSeq uint64
 	// limitChanges are those that the caller has not taken yet.
 	limitChanges []LimitChange
+	// pushbacks are the targets that want no requests from this entry VM; pushbackChanges are those that the caller has not
+	// taken yet.
+	pushbacks       map[lifetime]*pushback
+	pushbackChanges []PushbackChange
 	// peers are the other entry VMs that may take requests; relayStates is what is known of them from those they took.
 	peers       []Peer
 	peerByHash  map[uint64]Peer
@@ -148,7 +152,7 @@
 		Config: c, hash: xxhash.Sum64String(c.Name), targets: map[string]*target{}, services: map[string]*service{},
 		splits: map[string]*paroute.Splitter{}, runTimes: map[string]*runTimes{}, used: map[string]bool{},
 		warmTargets: map[uint64][]*target{}, entryCount: 1, coldShares: map[string]coldShare{},
-		relayStates: map[string]*relayState{},
+		relayStates: map[string]*relayState{}, pushbacks: map[lifetime]*pushback{},
 	}
 }
 
