pasteer, pagate: a target that names a time without requests gets none from this entry VM for that time

The targets got up to 38 requests from one entry VM in a time for which they had asked for none.

Cause: a 503 was the outcome of one attempt. With free slots in its load report it was taken for a sign that the next attempt would do, so that the same request went there up to three times within a round trip, and the next ones too, as the target was warm and looked idle.

It is taken at the response's header. One question (pushbackWait) is asked wherever a target is chosen, and once more right before the first byte (MaySend), as a connection may take 0.6 s to open. No detour over a relay: the relay is told which targets to leave out. Only such targets left: 503 Pushback at once with the shortest time left. Afterwards one request at a time until one is answered, the entry VMs one after the other.

--- a/pagate/forward.go
+++ b/pagate/forward.go
@@ -9,7 +9,7 @@
 
 // forward sends the request to targets until one responds, and writes the response.
 func (g *Gate) forward(ctx context.Context, w http.ResponseWriter, x *exchange) {
-	for dials, sheds := 0, 0; ; {
+	for unsent, sheds := 0, 0; ; {
 		c := g.choose(x)
 		if c.Target == "" {
 			g.answerNoTarget(w, x, c)
@@ -40,13 +40,15 @@
 			x.failedReply = r.reply
 		}
 		x.mayHaveExecuted = x.mayHaveExecuted || !r.notExecuted
-		if r.outcome == pasteer.Refused {
-			if dials++; dials < maxRefusedDials {
-				x.unreached = append(x.unreached, c.Target)
+		if r.outcome == pasteer.Refused || r.outcome == pasteer.Withheld {
+			if unsent++; unsent < maxUnsent {
+				if r.outcome == pasteer.Refused {
+					x.unreached = append(x.unreached, c.Target)
+				}
 				continue
 			}
 		}
-		room := g.shedWithRoom(r)
+		room := !r.report.PushedBack && g.shedWithRoom(r)
 		if r.reply == nil && (room && sheds >= maxSheds || !g.takeRetry(x, r)) {
 			g.answerLastFailure(w, x, r, room)
 			return
@@ -60,9 +62,9 @@
 	}
 }
 
-// maxRefusedDials is how many targets that refuse the connection are tried. Nothing reached them, so that they do not
-// count as attempts; in a zone that has just failed, a service has a handful of targets.
-const maxRefusedDials = 4
+// maxUnsent is how many targets are tried that refuse the connection, or want no requests once it is open. Nothing reached them, so
+// that they do not count as attempts; in a zone that has just failed, a service has a handful of targets.
+const maxUnsent = 4
 
 // maxSheds is how many times a request is sent again to a target that shed it although it had free slots.
 const maxSheds = 2
@@ -93,7 +95,7 @@
 func (x *exchange) balancerRequest() pasteer.Request {
 	return pasteer.Request{
 		Route: x.route, Service: x.service, Object: x.object, Tried: x.tried, Unreached: x.unreached, Deadline: x.deadline,
-		Regions: x.allowedRegions(), Direct: x.direct,
+		Regions: x.allowedRegions(), Avoid: x.avoid, Direct: x.direct,
 	}
 }
 
--- a/pagate/front.go
+++ b/pagate/front.go
@@ -49,6 +49,8 @@
 	// unreached are the targets to which no connection could be opened. relays are the entry VMs that were to relay it, and
 	// failedRelays those of them that did not respond, or cannot.
 	unreached, relays, failedRelays []string
+	// avoid are the targets that want no requests from the entry VM that received it, if that is not this one.
+	avoid []string
 	// direct says that no relay may take it. relayed is the call of the entry VM that received it; nil if that is this one.
 	direct          bool
 	relayed         *relayCall
--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -51,6 +51,8 @@
 	unreadableLimits sync.Map
 	// unreadablePushbacks are the targets that asked for no requests for something that is no time, as logged.
 	unreadablePushbacks sync.Map
+	// pushbackLines bounds the log lines on targets that want no requests.
+	pushbackLines tokenBucket
 	// fleetPeak is the peak number of registered entry VMs; only the control loop uses it.
 	fleetPeak fleetPeak
 	// endLog bounds the log lines on requests that were refused or failed.
@@ -96,10 +98,11 @@
 			Name: s.Name, Zone: s.Zone, Region: s.Region, Front: s.Front, Peers: s.Peers, Born: c.Clock.Now().UnixMilli(),
 			LinkMbps: s.LinkMbps,
 		},
-		events:    make(chan event, maxEvents),
-		logged:    logState{appliedLines: tokenBucket{rate: appliedLineRate, burst: appliedLineBurst}},
-		endLog:    tokenBucket{rate: endLineRate, burst: endLineBurst},
-		startedAt: c.Clock.Now(), firstConfig: make(chan struct{}),
+		events:        make(chan event, maxEvents),
+		logged:        logState{appliedLines: tokenBucket{rate: appliedLineRate, burst: appliedLineBurst}},
+		endLog:        tokenBucket{rate: endLineRate, burst: endLineBurst},
+		pushbackLines: tokenBucket{rate: changeLineRate, burst: changeLineBurst},
+		startedAt:     c.Clock.Now(), firstConfig: make(chan struct{}),
 		reregister: make(chan struct{}, 1), pathFailed: make(chan struct{}, 1), lostSince: map[string]time.Time{},
 		balancer: pasteer.New(pasteer.Config{
 			Name: s.Name, Zone: s.Zone, Region: s.Region, Regions: s.Regions,
--- a/pagate/meter.go
+++ b/pagate/meter.go
@@ -28,6 +28,7 @@
 	probes          *metrics.Counter
 	relayedFor      *metrics.Counter
 	targetEnds      *metrics.Counter
+	pushbacks       *metrics.Counter
 	served          atomic.Uint64
 }
 
@@ -42,6 +43,7 @@
 	m.probes = m.set.NewCounter("papayahead_gate_path_probes_total")
 	m.relayedFor = m.set.NewCounter("papayahead_gate_relayed_for_others_total")
 	m.targetEnds = m.set.NewCounter("papayahead_gate_target_ends_total")
+	m.pushbacks = m.set.NewCounter("papayahead_gate_pushbacks_total")
 	m.set.NewGauge("papayahead_gate_suspected_requests", func() float64 {
 		suspects, _ := g.quarantine.Counts(g.config.Clock.Now())
 		return float64(suspects)
--- a/pagate/pushback.go
+++ b/pagate/pushback.go
@@ -30,9 +30,29 @@
 	return true
 }
 
+// maySend reports whether a request may still be sent to the target that was chosen for it.
+func (g *Gate) maySend(c pasteer.Choice) bool {
+	g.balancerMutex.Lock()
+	defer g.balancerMutex.Unlock()
+	return g.balancer.MaySend(c, g.config.Clock.Now())
+}
+
+// pushedBack returns targets of a service that want no requests from this entry VM now.
+func (g *Gate) pushedBack(service string) []string {
+	g.balancerMutex.Lock()
+	defer g.balancerMutex.Unlock()
+	return g.balancer.PushedBack(service, g.config.Clock.Now())
+}
+
 // recordPushbacks logs which targets want no requests from now on, or no longer.
 func (g *Gate) recordPushbacks(all []pasteer.PushbackChange) {
 	for _, c := range all {
+		if !c.Ended {
+			g.meter.pushbacks.Inc()
+		}
+		if !g.pushbackLines.take(g.config.Clock.Now()) {
+			continue
+		}
 		if c.Ended {
 			g.record(paevent.TargetPushbackEnded{Target: c.Target, Service: c.Service, Seconds: c.Wait.Seconds()})
 		} else {
--- a/pagate/relay.go
+++ b/pagate/relay.go
@@ -116,7 +116,8 @@
 	} else {
 		outcome = string(r.relayed.Outcome)
 		report.Failed = r.relayed.Elsewhere
-		if r.relayed.Reason == string(pasteer.ReasonLimited) {
+		switch pasteer.Reason(r.relayed.Reason) {
+		case pasteer.ReasonLimited, pasteer.ReasonPushback:
 			report.RetryAfter = time.Duration(r.relayed.RetryMicroseconds) * time.Microsecond
 		}
 		report.Target = r.relayed.Target
@@ -134,6 +135,7 @@
 func (g *Gate) sendToRelay(ctx context.Context, x *exchange, p pasteer.Peer) attemptResult {
 	call, err := json.Marshal(relayCall{
 		From: g.self.Name, Version: x.version, Service: x.service, Workspace: x.workspaceName(), Tried: x.tried,
+		PushedBack: g.pushedBack(x.service),
 	})
 	if err != nil {
 		panic("pagate: encode a relay call as JSON: " + err.Error())
--- a/pagate/relaycall.go
+++ b/pagate/relaycall.go
@@ -26,6 +26,8 @@
 	Workspace string `json:",omitempty"`
 	// Tried are the targets to which the request was sent already.
 	Tried []string `json:",omitempty"`
+	// PushedBack are targets that want no requests from the first entry VM, some of them if they are many.
+	PushedBack []string `json:",omitempty"`
 }
 
 // relayOutcome is what became of a relayed request.
--- a/pagate/relayed.go
+++ b/pagate/relayed.go
@@ -86,7 +86,7 @@
 			return reasonUnknownWorkspace
 		}
 	}
-	x.tried = append(x.tried, x.relayed.Tried...)
+	x.tried, x.avoid = append(x.tried, x.relayed.Tried...), x.relayed.PushedBack
 	x.service = x.relayed.Service
 	if !x.route.HasService(x.service) {
 		x.service = g.pickService(x)
@@ -102,10 +102,10 @@
 }
 
 // saidElsewhere reports whether another relay may serve a request that this one refused: this one shuts down, is behind, has
-// used up its part of what limited targets take, or has lost targets of the service itself.
+// used up its part of what limited targets take, is to send nothing to the targets for a time, or has lost targets of the service itself.
 func (g *Gate) saidElsewhere(x *exchange, reason string) bool {
 	switch reason {
-	case reasonShuttingDown, reasonBehindConfig, string(pasteer.ReasonLimited):
+	case reasonShuttingDown, reasonBehindConfig, string(pasteer.ReasonLimited), string(pasteer.ReasonPushback):
 		return true
 	case string(pasteer.ReasonNoTarget), string(pasteer.ReasonCold), reasonAttemptsSpent:
 		return g.lost()[x.service].Targets > 0
--- a/pagate/response.go
+++ b/pagate/response.go
@@ -91,7 +91,7 @@
 		a.gate.noteUnreadableLimit(a.choice.Target, strings.Join(limits, ","))
 	}
 	if response.StatusCode == http.StatusServiceUnavailable {
-		r.pushedBack = a.gate.observePushback(a.choice, response.Header.Values(names.RetryAfter))
+		r.report.PushedBack = a.gate.observePushback(a.choice, response.Header.Values(names.RetryAfter))
 	}
 	switch {
 	case response.StatusCode == http.StatusMisdirectedRequest:
--- a/pagate/send.go
+++ b/pagate/send.go
@@ -79,8 +79,6 @@
 	outcome pasteer.Outcome
 	// notExecuted says that the target certainly did not execute the request.
 	notExecuted bool
-	// pushedBack says that the target asked for no requests for a while.
-	pushedBack bool
 	// failure is how the attempt failed, if it got no complete response.
 	failure failure
 	report  pasteer.Report
@@ -118,6 +116,10 @@
 	}
 	// Another request may have the connection once this one has its response.
 	a.pool, a.connected = pool, !a.conn.reused
+	if a.relayCall == "" && !a.gate.maySend(c) {
+		a.conn.Close()
+		return a.withheld()
+	}
 	stop := context.AfterFunc(ctx, func() { a.conn.Close() })
 	r := a.roundTrip(ctx)
 	if r.reply == nil || r.reply.rest == nil {
@@ -196,6 +198,13 @@
 	return r
 }
 
+// withheld returns the outcome of an attempt that was given up before anything was sent.
+func (a *attempt) withheld() attemptResult {
+	r := attemptResult{outcome: pasteer.Withheld, notExecuted: true, report: a.report()}
+	r.report.Outcome = r.outcome
+	return r
+}
+
 // fail closes the connection of an attempt that got no complete response, and returns its outcome.
 func (a *attempt) fail(ctx context.Context, err error) attemptResult {
 	r := attemptResult{outcome: pasteer.Lost, report: a.report(), notExecuted: !a.mayHaveSent}
--- a/pasteer/balancer.go
+++ b/pasteer/balancer.go
@@ -141,6 +141,8 @@
 	// limit is the rate that the target names; unlimitedAt is when it last responded without one.
 	limit       rateLimit
 	unlimitedAt time.Time
+	// pushback is the time for which the target wants no requests; nil if it takes them.
+	pushback *pushback
 	// path is this entry VM's path to the target; viaRelay is set while requests reach it through another entry VM.
 	path     path
 	viaRelay bool
--- a/pasteer/choose.go
+++ b/pasteer/choose.go
@@ -25,6 +25,8 @@
 	Tried []string
 	// Unreached are the IDs of the targets to which no connection could be opened for the request.
 	Unreached []string
+	// Avoid are the IDs of targets that want no requests from the entry VM that relays the request to this one.
+	Avoid []string
 	// Deadline is when the caller no longer accepts an answer.
 	Deadline time.Time
 	// Direct is set if no other entry VM may take the request.
@@ -70,6 +72,8 @@
 	ReasonFull Reason = "Full"
 	// ReasonCold means that only cold targets are left and all of them get as many requests as they bear.
 	ReasonCold Reason = "Cold"
+	// ReasonPushback means that only targets are left that want no requests from this entry VM for a time.
+	ReasonPushback Reason = "Pushback"
 	// ReasonLimited means that only targets are left that named a limit, and get as many requests as that.
 	ReasonLimited Reason = "Limited"
 )
@@ -82,6 +86,8 @@
 	retryAfterFull     = 300 * time.Millisecond
 	// minRetryAfterLimited keeps callers from returning before a token that others wait for as well.
 	minRetryAfterLimited = 100 * time.Millisecond
+	// minRetryAfterPushback keeps callers from returning before the response to the first request after a pushback.
+	minRetryAfterPushback = 100 * time.Millisecond
 )
 
 // PickService counts a request of the route and returns the service that handles it, by the weights of the route's parts.
@@ -110,16 +116,27 @@
 	switch {
 	case l.usable == 0 && l.limited && !q.Direct && !b.Config.Off.Relays && b.hasLimitSender(svc, q, now):
 		return Choice{Target: svc.limited[0].state.ID, Relay: true, ToSender: true}
-	case l.usable == 0 && l.limited:
-		return Choice{Reason: ReasonLimited, RetryAfter: max(minRetryAfterLimited, l.limitWait)}
-	case l.usable == 0 && l.coldLimited:
-		return Choice{Reason: ReasonCold, RetryAfter: retryAfterCold}
 	case l.usable == 0:
-		return Choice{Reason: ReasonNoTarget, RetryAfter: retryAfterNoTarget}
+		return l.refusal()
 	}
 	return b.pick(svc, l.all, q, now)
 }
 
+// refusal refuses a request for which no target is usable, for the reason that is over first.
+func (l *shortlist) refusal() Choice {
+	c := Choice{Reason: ReasonNoTarget, RetryAfter: retryAfterNoTarget}
+	switch {
+	case l.limited:
+		c = Choice{Reason: ReasonLimited, RetryAfter: max(minRetryAfterLimited, l.limitWait)}
+	case l.coldLimited:
+		c = Choice{Reason: ReasonCold, RetryAfter: retryAfterCold}
+	}
+	if l.pushedBack && (c.Reason == ReasonNoTarget && !l.unavailable || l.pushbackWait < c.RetryAfter) {
+		c = Choice{Reason: ReasonPushback, RetryAfter: max(minRetryAfterPushback, l.pushbackWait)}
+	}
+	return c
+}
+
 // key is the hash of the request's object within its service.
 func (q Request) key() uint64 {
 	if q.cachedKey != 0 {
@@ -136,9 +153,14 @@
 // hasAffinity reports whether the request prefers the homes of its object and the targets that are warm for it.
 func (q Request) hasAffinity() bool { return q.Route.Affinity && q.Object != "" }
 
-// available reports whether the target may be tried: it is neither in backoff nor unresponsive, or its next trial is due, or
-// another entry VM reaches it.
+// available reports whether the target may be tried: it wants requests, and it is neither in backoff nor unresponsive, or its next
+// trial is due, or another entry VM reaches it.
 func (b *Balancer) available(t *target, now time.Time) bool {
+	return t.pushbackWait(now) == 0 && b.reachable(t, now)
+}
+
+// reachable reports whether connections to the target are expected to work, or are to be tried.
+func (b *Balancer) reachable(t *target, now time.Time) bool {
 	return t.viaRelay || !now.Before(t.backoffUntil) && (b.Config.Off.SilentTargets || !t.unresponsive(now) || !now.Before(t.nextTryAt))
 }
 
--- a/pasteer/outcome.go
+++ b/pasteer/outcome.go
@@ -21,6 +21,8 @@
 	Lost
 	// Abandoned means that the caller disconnected or the deadline passed.
 	Abandoned
+	// Withheld means that the request was not sent after all, since the target wants no requests now.
+	Withheld
 )
 
 // String returns the outcome's name in logs and metrics.
@@ -38,6 +40,8 @@
 		return "Refused"
 	case Lost:
 		return "Lost"
+	case Withheld:
+		return "Withheld"
 	default:
 		return "Abandoned"
 	}
@@ -62,6 +66,8 @@
 	Limited         bool
 	Limit           float64
 	LimitUnreadable bool
+	// PushedBack is set if the target asked for no requests for a time.
+	PushedBack bool
 	// Connected is set if a new connection to the target was opened. Unreached is set if the target acknowledged nothing
 	// on an open connection for too long; Refused implies it.
 	Connected, Unreached bool
@@ -98,6 +104,7 @@
 	t.updateFullSince(now)
 	b.recordSent(c, q, now)
 	t.takeLimited(now)
+	t.startAfterPushback(now)
 	if t.isCold(now) {
 		t.coldBucket.take(now, b.coldRate(t, now))
 	}
@@ -151,6 +158,7 @@
 		}
 	}
 	b.observeLimit(t, r, now)
+	b.finishAfterPushback(t, r, now)
 	t.updateFullSince(now)
 	if r.Connected && t.path.lostSince.Before(now.Add(-r.Duration)) {
 		b.pathRestored(t, now)
@@ -166,6 +174,9 @@
 
 // recordOutcome updates the marks on a target by the outcome of a request.
 func (b *Balancer) recordOutcome(t *target, r Report, now time.Time) {
+	if r.PushedBack {
+		return // It does not fail, and its load does not matter until the time is over.
+	}
 	switch r.Outcome {
 	case Answered:
 		b.observeExcess(t, r, now)
--- a/pasteer/pushback.go
+++ b/pasteer/pushback.go
@@ -2,21 +2,33 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
+// A target that turns requests away may name a time for which it wants none from this entry VM. That concerns all that this entry
+// VM sends, so every decision asks Balancer.pushbackWait, and every send asks Balancer.MaySend once more before its first byte.
+// The word is this entry VM's own: others may still be welcome there, and no request takes a detour over one of them.
+
 // lifetime identifies one run of a target's process.
 type lifetime struct {
 	target string
 	born   int64
 }
 
-// pushback is a time for which a target asked this entry VM to send it nothing.
+// pushback is a time for which a target asked this entry VM to send it nothing, and what follows until the target answers again.
 type pushback struct {
 	service string
-	// began is when the target first asked, until the latest end of what it asked for since.
+	// began is when the target asked, until the latest end of what it asked for since.
 	began, until time.Time
+	// resumeAt is when this entry VM sends the first request again. From then on one request is sent at trialAt, until the target
+	// answers one.
+	resumeAt, trialAt time.Time
+	// ended is set once its end was reported.
+	ended bool
 }
 
 const (
@@ -24,6 +36,15 @@
 	MaxPushback = 24 * time.Hour
 	// maxAbsentPushbacks bounds how many are kept for targets that are missing in the view; each takes some 150 bytes.
 	maxAbsentPushbacks = 4096
+	// resumeSpacing is the mean time between the first requests of two entry VMs after a pushback: a target with a few slots runs a
+	// short request in about that time. The last one is late by resumeShare of the time that was asked for at most.
+	resumeSpacing = 20 * time.Millisecond
+	resumeShare   = 0.5
+	// pushbackTrialInterval is the time between two requests to a target that has not answered since: a round trip between regions
+	// and a short run.
+	pushbackTrialInterval = 250 * time.Millisecond
+	// pushbackTrialTime is how long requests are sent one by one if none is answered; some targets have few requests.
+	pushbackTrialTime = 30 * time.Second
 )
 
 // PushBack records that a target asked this entry VM to send it nothing for a time.
@@ -36,27 +57,73 @@
 	}
 	id := lifetime{target, born}
 	p := b.pushbacks[id]
-	if p == nil {
+	if p == nil || p.ended {
 		p = &pushback{began: now}
-		if t := b.targets[target]; t != nil {
-			p.service = t.state.Service
-		}
 		b.pushbacks[id] = p
+		if t := b.targets[target]; t != nil && t.state.Born == born {
+			p.service, t.pushback = t.state.Service, p
+		}
 		b.pushbackChanges = append(b.pushbackChanges, PushbackChange{Target: target, Service: p.service, Wait: wait})
 	}
 	// An earlier response that asked for longer still holds.
-	p.until = later(p.until, now.Add(wait))
+	if until := now.Add(wait); until.After(p.until) {
+		p.until, p.resumeAt = until, until.Add(b.resumeDelay(target, wait))
+	}
+}
+
+// resumeDelay returns how much later than a pushback ends this entry VM sends its first request.
+//
+// A target in trouble turns all entry VMs away at about the same time. Without the delays hundreds of first requests would reach it
+// in the moment in which its time is over.
+func (b *Balancer) resumeDelay(target string, wait time.Duration) time.Duration {
+	spread := min(float64(b.entryCount)*float64(resumeSpacing), resumeShare*float64(wait))
+	position := float64(rendezvousWeight(xxhash.Sum64String(target), b.hash)) / math.MaxUint64
+	return time.Duration(position * spread)
+}
+
+// MaySend reports whether the request may still be sent to the target that was chosen for it: opening a connection takes time, and
+// another response may have asked for no requests meanwhile.
+func (b *Balancer) MaySend(c Choice, now time.Time) bool {
+	p := b.pushbacks[lifetime{c.Target, c.Born}]
+	return p == nil || !now.Before(p.resumeAt)
+}
+
+// pushbackWait returns how long it takes until this entry VM may choose the target again; 0 if it may now.
+func (t *target) pushbackWait(now time.Time) time.Duration {
+	p := t.pushback
+	if p == nil {
+		return 0
+	}
+	return max(0, later(p.resumeAt, p.trialAt).Sub(now))
+}
+
+// startAfterPushback records that a request is sent to a target that has not answered since it turned requests away.
+func (t *target) startAfterPushback(now time.Time) {
+	if t.pushback != nil {
+		t.pushback.trialAt = now.Add(pushbackTrialInterval)
+	}
+}
+
+// finishAfterPushback ends a pushback if the target ran a request that was sent after it.
+func (b *Balancer) finishAfterPushback(t *target, r Report, now time.Time) {
+	p := t.pushback
+	if p == nil || r.PushedBack || r.Outcome > Failed || now.Add(-r.Duration).Before(p.resumeAt) {
+		return
+	}
+	b.endPushback(lifetime{t.state.ID, t.state.Born}, now)
 }
 
-// expirePushbacks drops what is over, what belongs to an earlier lifetime of a target, and the first to end of too many whose
+// expirePushbacks drops pushbacks that are over or belong to an earlier lifetime of a target, and the first to end of too many whose
 // targets are missing.
 func (b *Balancer) expirePushbacks(now time.Time) {
 	var absent []lifetime
 	for id, p := range b.pushbacks {
 		t := b.targets[id.target]
 		switch {
-		case !now.Before(p.until), t != nil && t.state.Born != id.born:
-			b.endPushback(id, p, now)
+		case t != nil && t.state.Born != id.born, !now.Before(p.resumeAt.Add(pushbackTrialTime)):
+			b.endPushback(id, now)
+		case !now.Before(p.resumeAt):
+			b.reportPushbackEnd(id, p, now)
 		case t == nil:
 			absent = append(absent, id)
 		}
@@ -68,13 +135,25 @@
 		return cmp.Or(b.pushbacks[x].until.Compare(b.pushbacks[y].until), cmp.Compare(x.target, y.target))
 	})
 	for _, id := range absent[:len(absent)-maxAbsentPushbacks] {
-		b.endPushback(id, b.pushbacks[id], now)
+		b.endPushback(id, now)
 	}
 }
 
-// endPushback drops a pushback and reports its end.
-func (b *Balancer) endPushback(id lifetime, p *pushback, now time.Time) {
+// endPushback drops a pushback.
+func (b *Balancer) endPushback(id lifetime, now time.Time) {
+	p := b.pushbacks[id]
+	b.reportPushbackEnd(id, p, now)
 	delete(b.pushbacks, id)
+	if t := b.targets[id.target]; t != nil && t.pushback == p {
+		t.pushback = nil
+	}
+}
+
+func (b *Balancer) reportPushbackEnd(id lifetime, p *pushback, now time.Time) {
+	if p.ended {
+		return
+	}
+	p.ended = true
 	b.pushbackChanges = append(b.pushbackChanges, PushbackChange{
 		Target: id.target, Service: p.service, Wait: now.Sub(p.began), Ended: true,
 	})
@@ -83,7 +162,7 @@
 // PushbackChange says that a target asked for no requests, or that this is over.
 type PushbackChange struct {
 	Target, Service string
-	// Wait is the time that the target asked for first; at the end it is how long this entry VM sent nothing.
+	// Wait is the time that the target asked for; at the end it is how long this entry VM sent nothing.
 	Wait  time.Duration
 	Ended bool
 }
@@ -96,5 +175,25 @@
 	return all
 }
 
+// PushedBack returns up to maxPushedBack targets of a service that want no requests from this entry VM now.
+func (b *Balancer) PushedBack(service string, now time.Time) (all []string) {
+	for id, p := range b.pushbacks {
+		if p.service == service && now.Before(p.resumeAt) && len(all) < maxPushedBack {
+			all = append(all, id.target)
+		}
+	}
+	return all
+}
+
+// maxPushedBack bounds what is told a relay beside a request.
+const maxPushedBack = 64
+
 // PushbackTargets returns how many targets want no requests from this entry VM.
-func (b *Balancer) PushbackTargets() int { return len(b.pushbacks) }
+func (b *Balancer) PushbackTargets() (n int) {
+	for _, p := range b.pushbacks {
+		if !p.ended {
+			n++
+		}
+	}
+	return n
+}
--- a/pasteer/shortlist.go
+++ b/pasteer/shortlist.go
@@ -25,6 +25,11 @@
 	// limited is set if there is one.
 	limited   bool
 	limitWait time.Duration
+	// pushbackWait is the shortest time until a target may get a request that wants none now; pushedBack is set if there is one, and
+	// unavailable if there is one that is not usable because requests to it fail.
+	pushedBack   bool
+	pushbackWait time.Duration
+	unavailable  bool
 }
 
 // maxPerDistance is how many targets of each distance are compared for a request without affinity.
@@ -102,6 +107,13 @@
 		return
 	}
 	c := candidate{ranked: r, usable: b.available(t, now)}
+	if wait := t.pushbackWait(now); wait > 0 {
+		if !l.pushedBack || wait < l.pushbackWait {
+			l.pushedBack, l.pushbackWait = true, wait
+		}
+	} else if !c.usable {
+		l.unavailable = true
+	}
 	if c.usable && !t.viaRelay && t.isCold(now) && !b.mayTakeCold(t, now) {
 		c.usable, l.coldLimited = false, true
 	}
@@ -118,9 +130,9 @@
 }
 
 // eligible reports whether the target may handle the request at all: it is not excluded, in an allowed region, not tried
-// yet, and within reach of this entry VM if no other may take the request.
+// yet, wants requests of the entry VM that received this one, and is within reach of this entry VM if no other may take the request.
 func eligible(t *target, q Request) bool {
-	if t.excluded || !q.allows(t.region) || slices.Contains(q.Tried, t.state.ID) {
+	if t.excluded || !q.allows(t.region) || slices.Contains(q.Tried, t.state.ID) || slices.Contains(q.Avoid, t.state.ID) {
 		return false
 	}
 	if t.viaRelay {
--- a/pasteer/update.go
+++ b/pasteer/update.go
@@ -105,7 +105,7 @@
 
 // addTarget creates the state of a target that is new or restarted.
 func (b *Balancer) addTarget(id string, m *pafleet.TargetState, now time.Time) *target {
-	t := &target{hash: xxhash.Sum64String(id), region: b.Config.Regions[m.Zone]}
+	t := &target{hash: xxhash.Sum64String(id), region: b.Config.Regions[m.Zone], pushback: b.pushbacks[lifetime{id, m.Born}]}
 	b.targets[id] = t
 	if b.used[m.Service] {
 		t.joinedAt = now
