pasteer, pagate: others are preferred to a target that turns away several requests in a row

Cause: the same as with a time: each request was sent there up to three times within a round trip and then refused, as another target would be cold for the object. That is right where a target turns away a part.

Fix: after three in a row with free slots the others are preferred, for 0.25 s at first, then twice as long up to 2 s, with one request in between; the request itself goes on to another target. If none but such targets is usable they are used as before.

--- a/pagate/forward.go
+++ b/pagate/forward.go
@@ -9,9 +9,14 @@
 
 // forward sends the request to targets until one responds, and writes the response.
 func (g *Gate) forward(ctx context.Context, w http.ResponseWriter, x *exchange) {
-	for unsent, sheds := 0, 0; ; {
+	var last attemptResult
+	for unsent, sheds, room := 0, 0, false; ; {
 		c := g.choose(x)
 		if c.Target == "" {
+			if room && c.Reason == pasteer.ReasonNoTarget {
+				g.answerLastFailure(w, x, last, room)
+				return
+			}
 			g.answerNoTarget(w, x, c)
 			return
 		}
@@ -48,13 +53,14 @@
 				continue
 			}
 		}
-		room := !r.report.PushedBack && g.shedWithRoom(r)
-		if r.reply == nil && (room && sheds >= maxSheds || !g.takeRetry(x, r)) {
+		var again bool
+		room, again = g.shedWithRoom(c, r)
+		last = r
+		if r.reply == nil && (again && sheds >= maxSheds || !g.takeRetry(x, r)) {
 			g.answerLastFailure(w, x, r, room)
 			return
 		}
-		if room {
-			// Another target would be cold for the object, and this one is as likely to accept the next attempt.
+		if again {
 			sheds++
 			continue
 		}
@@ -69,11 +75,16 @@
 // maxSheds is how many times a request is sent again to a target that shed it although it had free slots.
 const maxSheds = 2
 
-// shedWithRoom reports whether a target shed the request although it had free slots.
-func (g *Gate) shedWithRoom(r attemptResult) bool {
+// shedWithRoom reports whether a target shed the request although it had free slots, and whether to send it there again: another
+// target would be cold for the object, and this one is as likely to accept the next attempt unless it turns all away.
+func (g *Gate) shedWithRoom(c pasteer.Choice, r attemptResult) (room, again bool) {
+	if r.report.PushedBack {
+		return false, false
+	}
 	g.balancerMutex.Lock()
 	defer g.balancerMutex.Unlock()
-	return g.balancer.ShedWithFreeSlot(r.report)
+	room = g.balancer.ShedWithFreeSlot(r.report)
+	return room, room && !g.balancer.PrefersAnother(c, g.config.Clock.Now())
 }
 
 // choose picks the target of the next attempt.
--- a/pasteer/balancer.go
+++ b/pasteer/balancer.go
@@ -133,6 +133,9 @@
 	nextTryAt time.Time
 	// errorRate is the moving average of the fraction of this entry VM's requests that failed at the target.
 	errorRate float64
+	// shedStreak is how many requests in a row the target turned away with a free slot; others are preferred to it until avoidUntil.
+	shedStreak int
+	avoidUntil time.Time
 	// suspectColdUntil and evacuatedColdUntil are until when this entry VM presumes the target cold, whatever the target
 	// itself reports: after it refused a connection, and after the end of its zone's evacuation.
 	suspectColdUntil, evacuatedColdUntil time.Time
--- a/pasteer/choose.go
+++ b/pasteer/choose.go
@@ -55,6 +55,8 @@
 	// Shifted is set if the request goes to another region than the previous ones for its object; Held is set if it has
 	// to stay in that region because MaxShift was reached.
 	Shifted, Held bool
+	// Avoided is set if the target turned away several requests in a row, and no other is usable.
+	Avoided bool
 	// Relay is set if the target is to be reached through another entry VM, which chooses the target by what it knows.
 	Relay bool
 	// ToSender is set if that is one of those that send to targets which named a limit: PickLimitSender returns it.
@@ -113,6 +115,7 @@
 	}
 	q.cachedKey = q.key()
 	l := b.buildShortlist(svc, q, now)
+	l.useAvoided()
 	switch {
 	case l.usable == 0 && l.limited && !q.Direct && !b.Config.Off.Relays && b.hasLimitSender(svc, q, now):
 		return Choice{Target: svc.limited[0].state.ID, Relay: true, ToSender: true}
--- a/pasteer/outcome.go
+++ b/pasteer/outcome.go
@@ -105,6 +105,7 @@
 	b.recordSent(c, q, now)
 	t.takeLimited(now)
 	t.startAfterPushback(now)
+	t.startInShedStreak(now)
 	if t.isCold(now) {
 		t.coldBucket.take(now, b.coldRate(t, now))
 	}
@@ -182,12 +183,14 @@
 		b.observeExcess(t, r, now)
 		b.runTimesOf(r.Route).add(r.Warm, r.Duration)
 		t.failures, t.errorRate = 0, t.errorRate*(1-errorWeight)
+		t.endShedStreak()
 		b.recordUse(t, r.Object, now)
 	case Failed:
 		t.errorRate = t.errorRate*(1-errorWeight) + errorWeight
+		t.endShedStreak()
 	case Shed:
 		if b.ShedWithFreeSlot(r) {
-			t.errorRate = t.errorRate*(1-errorWeight) + errorWeight
+			t.countShed(now)
 			return
 		}
 		t.otherLoad, t.otherLoadAt = max(t.otherLoad, 2*t.slots()), now
--- a/pasteer/pick.go
+++ b/pasteer/pick.go
@@ -58,7 +58,7 @@
 			best = Choice{
 				Target: c.target.state.ID, Address: c.target.state.Address, Born: c.target.state.Born,
 				Warm: warm, Load: e.load, wait: e.wait, finish: e.finish, Shifted: shifted, Held: held,
-				Relay: c.target.viaRelay,
+				Relay: c.target.viaRelay, Avoided: c.avoided,
 			}
 		}
 	}
--- a/pasteer/shortlist.go
+++ b/pasteer/shortlist.go
@@ -10,8 +10,9 @@
 type candidate struct {
 	ranked
 	// usable is set if the target may get the request now. A target that is in backoff or unresponsive, or cold and gets
-	// as many requests as it bears, is not usable but remains the home of its objects.
-	usable bool
+	// as many requests as it bears, is not usable but remains the home of its objects. avoided is set if it is not usable because
+	// others are preferred.
+	usable, avoided bool
 }
 
 // shortlist contains the targets that a decision compares.
@@ -21,6 +22,8 @@
 	// usable is the number of usable ones; coldLimited is set if a cold target is not usable because of its request rate.
 	usable      int
 	coldLimited bool
+	// avoided is how many are not usable because others are preferred.
+	avoided int
 	// limitWait is the shortest time until a target may get a request that is not usable because of the limit that it names;
 	// limited is set if there is one.
 	limited   bool
@@ -123,6 +126,10 @@
 			l.limited, l.limitWait = true, wait
 		}
 	}
+	if c.usable && t.isAvoided(now) {
+		c.usable, c.avoided = false, true
+		l.avoided++
+	}
 	if c.usable {
 		l.usable++
 	}
@@ -148,7 +155,7 @@
 
 // usableNow reports whether the target is eligible and may get the request now.
 func (b *Balancer) usableNow(t *target, q Request, now time.Time) bool {
-	return eligible(t, q) && b.available(t, now) && (t.viaRelay || (!t.isCold(now) || b.mayTakeCold(t, now)) && b.mayTakeLimited(t, now))
+	return eligible(t, q) && b.available(t, now) && !t.isAvoided(now) && (t.viaRelay || (!t.isCold(now) || b.mayTakeCold(t, now)) && b.mayTakeLimited(t, now))
 }
 
 // bestInRegion returns the target that ranks first for the request's object among the usable ones of a region, or nil.
