pasteer: the error rate of a target halves in ten seconds without requests

What callers saw: a target that had turned requests away for a while, or answered 503, got next to nothing for as long as its objects were warm elsewhere; the others bore its part.

Cause: the error rate changed with responses only, and a target above the bound gets none that would lower it.

Fix: errorRate decays with time as well (half in 10 s).

--- a/pasteer/avoid.go
+++ b/pasteer/avoid.go
@@ -24,7 +24,7 @@
 	}
 	if further <= 0 {
 		// While it is avoided the rate would only delay its return.
-		t.errorRate = t.errorRate*(1-errorWeight) + errorWeight
+		t.errors.add(1, now)
 	}
 }
 
--- a/pasteer/outcome.go
+++ b/pasteer/outcome.go
@@ -74,8 +74,6 @@
 }
 
 const (
-	// errorWeight is the weight of the latest request in the moving average of a target's failures.
-	errorWeight = 0.15
 	// minBackoff and maxBackoff bound the time for which a target that cannot be reached gets no requests.
 	minBackoff = 300 * time.Millisecond
 	maxBackoff = 3 * time.Second
@@ -182,11 +180,12 @@
 	case Answered:
 		b.observeExcess(t, r, now)
 		b.runTimesOf(r.Route).add(r.Warm, r.Duration)
-		t.failures, t.errorRate = 0, t.errorRate*(1-errorWeight)
+		t.failures = 0
+		t.errors.add(0, now)
 		t.endShedStreak()
 		b.recordUse(t, r.Object, now)
 	case Failed:
-		t.errorRate = t.errorRate*(1-errorWeight) + errorWeight
+		t.errors.add(1, now)
 		t.endShedStreak()
 	case Shed:
 		if b.ShedWithFreeSlot(r) {
@@ -200,7 +199,7 @@
 		if t.viaRelay {
 			return // The path failed, not the target.
 		}
-		t.errorRate = t.errorRate*(1-errorWeight) + errorWeight
+		t.errors.add(1, now)
 		t.failures++
 		t.backoffUntil = later(t.backoffUntil, now.Add(minBackoff))
 	}
--- a/pasteer/path.go
+++ b/pasteer/path.go
@@ -25,7 +25,7 @@
 	failures         int
 	backoffUntil     time.Time
 	suspectColdUntil time.Time
-	errorRate        float64
+	errors           errorRate
 	fullSince        time.Time
 	warm             warmSet
 }
@@ -55,7 +55,7 @@
 	}
 	t.path.rememberedAt = now
 	t.path.before = marks{
-		failures: t.failures, backoffUntil: t.backoffUntil, suspectColdUntil: t.suspectColdUntil, errorRate: t.errorRate,
+		failures: t.failures, backoffUntil: t.backoffUntil, suspectColdUntil: t.suspectColdUntil, errors: t.errors,
 		fullSince: t.fullSince,
 	}
 }
@@ -193,7 +193,7 @@
 func (b *Balancer) restoreMarks(t *target) {
 	m := t.path.before
 	t.failures, t.backoffUntil, t.suspectColdUntil = m.failures, m.backoffUntil, m.suspectColdUntil
-	t.errorRate, t.fullSince, t.unresponsiveAt = m.errorRate, m.fullSince, time.Time{}
+	t.errors, t.fullSince, t.unresponsiveAt = m.errors, m.fullSince, time.Time{}
 	for key, u := range m.warm.uses {
 		b.addWarm(t, key, u.object, u.at)
 	}
--- a/pasteer/path_test.go
+++ b/pasteer/path_test.go
@@ -61,8 +61,8 @@
 	after := begin.Add(10 * time.Second)
 	for _, id := range allTargets(b) {
 		b.ProbeDone(Probe{Target: id, Born: 1}, true, after)
-		if o := b.targets[id]; o.isCold(after) || o.failures > 0 || after.Before(o.backoffUntil) || o.errorRate > 0 || o.viaRelay {
-			t.Errorf("%s after the fault: cold %v, %d failures, error rate %v, relayed %v", id, o.isCold(after), o.failures, o.errorRate, o.viaRelay)
+		if o := b.targets[id]; o.isCold(after) || o.failures > 0 || after.Before(o.backoffUntil) || o.errors.value > 0 || o.viaRelay {
+			t.Errorf("%s after the fault: cold %v, %d failures, error rate %v, relayed %v", id, o.isCold(after), o.failures, o.errors.value, o.viaRelay)
 		}
 	}
 	if c := b.Choose(q, after); c.Relay || c.Target != home || !c.Warm {
--- a/pasteer/pick.go
+++ b/pasteer/pick.go
@@ -107,7 +107,7 @@
 		load = 0
 	}
 	e := estimate{load: load / t.slots()}
-	if t.errorRate > maxErrorRate && !b.Config.Off.GreyTargets {
+	if t.errors.at(now) > maxErrorRate && !b.Config.Off.GreyTargets {
 		e.load += errorRatePenalty
 	}
 	warmRun := b.expectedRun(q, true)
