--- a/pasteer/balancer.go
+++ b/pasteer/balancer.go
@@ -131,7 +131,7 @@
 	unresponsiveAt time.Time
 	// nextTryAt is when an unresponsive target may get the next request.
 	nextTryAt time.Time
-	errors errorRate
+	errors    errorRate
 	// shedStreak is how many requests in a row the target turned away with a free slot; others are preferred to it until avoidUntil.
 	shedStreak int
 	avoidUntil time.Time
