pasteer: a target that asked for time gets its requests back at the rate that it runs them, then soon more

What callers would see: where all targets of a service ask for time, the ones that come back first get the requests of all callers that were refused meanwhile.

TestPushbacksHoldForAnyNumberOfEntryVMs failed at 7 and 30 entry VMs before.

--- a/pasteer/outcome.go
+++ b/pasteer/outcome.go
@@ -102,7 +102,7 @@
 	t.updateFullSince(now)
 	b.recordSent(c, q, now)
 	t.takeLimited(now)
-	t.startAfterPushback(now)
+	b.startAfterPushback(t, now)
 	t.startInShedStreak(now)
 	if t.isCold(now) {
 		t.coldBucket.take(now, b.coldRate(t, now))
--- a/pasteer/pushback.go
+++ b/pasteer/pushback.go
@@ -24,9 +24,11 @@
 	service string
 	// began is when the target asked, until the latest end of what it asked for since.
 	began, until time.Time
-	// resumeAt is when this entry VM sends the first request again. From then on one request is sent at trialAt, until the target
-	// answers one.
-	resumeAt, trialAt time.Time
+	// resumeAt is when this entry VM sends the first request again, and nextAt when it sends the next one.
+	resumeAt, nextAt time.Time
+	// answeredAt is when the target had run a request that was sent since, and runTime how long that took.
+	answeredAt time.Time
+	runTime    time.Duration
 	// ended is set once its end was reported.
 	ended bool
 }
@@ -45,6 +47,10 @@
 	pushbackTrialInterval = 250 * time.Millisecond
 	// pushbackTrialTime is how long requests are sent one by one if none is answered; some targets have few requests.
 	pushbackTrialTime = 30 * time.Second
+	// resumeTime is how long after the first answer the rate of requests is bounded: callers that were refused come back within that.
+	// The bound is at first what the slots of the target run, divided by the entry VMs, and doubles each resumeDoubling.
+	resumeTime     = 2 * time.Second
+	resumeDoubling = 500 * time.Millisecond
 )
 
 // PushBack records that a target asked this entry VM to send it nothing for a time.
@@ -68,6 +74,7 @@
 	// An earlier response that asked for longer still holds.
 	if until := now.Add(wait); until.After(p.until) {
 		p.until, p.resumeAt = until, until.Add(b.resumeDelay(target, wait))
+		p.answeredAt = time.Time{}
 	}
 }
 
@@ -89,28 +96,40 @@
 }
 
 // pushbackWait returns how long it takes until this entry VM may choose the target again; 0 if it may now.
+//
+// Where all targets asked for time, those that come back first get the requests of all callers that were refused. So this entry VM
+// sends one request, and after its answer no more than its part of what the target runs, then soon more.
 func (t *target) pushbackWait(now time.Time) time.Duration {
-	p := t.pushback
-	if p == nil {
+	if t.pushback == nil {
 		return 0
 	}
-	return max(0, later(p.resumeAt, p.trialAt).Sub(now))
+	return max(0, later(t.pushback.resumeAt, t.pushback.nextAt).Sub(now))
+}
+
+// startAfterPushback records that a request is sent to a target that had asked for no requests.
+func (b *Balancer) startAfterPushback(t *target, now time.Time) {
+	if p := t.pushback; p != nil {
+		p.nextAt = now.Add(p.interval(now, b.entryCount, t.state.Slots))
+	}
 }
 
-// startAfterPushback records that a request is sent to a target that has not answered since it turned requests away.
-func (t *target) startAfterPushback(now time.Time) {
-	if t.pushback != nil {
-		t.pushback.trialAt = now.Add(pushbackTrialInterval)
+// interval is the time between two requests of this entry VM to the target.
+func (p *pushback) interval(now time.Time, entries, slots int) time.Duration {
+	if p.answeredAt.IsZero() {
+		return pushbackTrialInterval
 	}
+	part := float64(p.runTime) * float64(entries) / float64(max(1, slots))
+	return time.Duration(part * math.Exp2(-float64(now.Sub(p.answeredAt))/float64(resumeDoubling)))
 }
 
-// finishAfterPushback ends a pushback if the target ran a request that was sent after it.
+// finishAfterPushback records the end of a request that may have been sent after a pushback.
 func (b *Balancer) finishAfterPushback(t *target, r Report, now time.Time) {
 	p := t.pushback
-	if p == nil || r.PushedBack || r.Outcome > Failed || now.Add(-r.Duration).Before(p.resumeAt) {
+	if p == nil || r.PushedBack || r.Outcome > Failed || now.Add(-r.Duration).Before(p.resumeAt) || !p.answeredAt.IsZero() {
 		return
 	}
-	b.endPushback(lifetime{t.state.ID, t.state.Born}, now)
+	p.answeredAt, p.runTime = now, r.Duration
+	p.nextAt = now.Add(p.interval(now, b.entryCount, t.state.Slots))
 }
 
 // expirePushbacks drops pushbacks that are over or belong to an earlier lifetime of a target, and the first to end of too many whose
@@ -120,7 +139,7 @@
 	for id, p := range b.pushbacks {
 		t := b.targets[id.target]
 		switch {
-		case t != nil && t.state.Born != id.born, !now.Before(p.resumeAt.Add(pushbackTrialTime)):
+		case t != nil && t.state.Born != id.born, p.isOver(now):
 			b.endPushback(id, now)
 		case !now.Before(p.resumeAt):
 			b.reportPushbackEnd(id, p, now)
@@ -139,6 +158,14 @@
 	}
 }
 
+// isOver reports whether nothing follows from the pushback any more.
+func (p *pushback) isOver(now time.Time) bool {
+	if p.answeredAt.IsZero() {
+		return !now.Before(p.resumeAt.Add(pushbackTrialTime))
+	}
+	return now.Sub(p.answeredAt) > resumeTime
+}
+
 // endPushback drops a pushback.
 func (b *Balancer) endPushback(id lifetime, now time.Time) {
 	p := b.pushbacks[id]
