pasteer: what a response says of how long its target stays cold counts

Found by reading each header that a response may have and each mark on a target.

Fix: the target is cold for that time, as by its registration; 421 is another target's, over ten minutes a mistake.

Seen: pasteer.TestColdWordOfAResponseCounts fails without it.

--- a/pasteer/balancer.go
+++ b/pasteer/balancer.go
@@ -139,10 +139,11 @@
 	shedStreak int
 	avoidUntil time.Time
 	// suspectColdUntil and evacuatedColdUntil are until when this entry VM presumes the target cold, whatever the target
-	// itself reports: after it refused a connection, and after the end of its zone's evacuation.
-	suspectColdUntil, evacuatedColdUntil time.Time
-	coldBucket                           bucket
-	warm                                 warmSet
+	// itself reports: after it refused a connection, and after the end of its zone's evacuation. reportedColdUntil is until when it
+	// is cold by its responses.
+	suspectColdUntil, evacuatedColdUntil, reportedColdUntil time.Time
+	coldBucket                                              bucket
+	warm                                                    warmSet
 	// limit is the rate that the target names; unlimitedAt is when it last responded without one.
 	limit       rateLimit
 	unlimitedAt time.Time
--- a/pasteer/cold.go
+++ b/pasteer/cold.go
@@ -28,7 +28,23 @@
 
 // isCold reports whether the target reports that it is cold, or is presumed cold.
 func (t *target) isCold(now time.Time) bool {
-	return now.Before(t.state.ColdUntil) || now.Before(t.suspectColdUntil) || now.Before(t.evacuatedColdUntil)
+	return now.Before(t.state.ColdUntil) || now.Before(t.suspectColdUntil) || now.Before(t.evacuatedColdUntil) || now.Before(t.reportedColdUntil)
+}
+
+// maxColdFor bounds how long a response may say that its target stays cold; a longer time is a mistake.
+const maxColdFor = 10 * time.Minute
+
+// observeCold takes what a response says of how long its target stays cold. A target may turn cold at any moment, and the store says
+// so a heartbeat later.
+func (b *Balancer) observeCold(t *target, r Report, now time.Time) {
+	if r.ColdFor <= 0 || r.ColdFor > maxColdFor || r.Outcome > Shed {
+		return
+	}
+	wasCold := t.isCold(now)
+	t.reportedColdUntil = now.Add(r.ColdFor)
+	if !wasCold {
+		b.delayFirstCold(t, now)
+	}
 }
 
 // coldShare is the share of this entry VM in the rate that each cold target of an availability zone bears: a number of entry
--- a/pasteer/cold_test.go
+++ b/pasteer/cold_test.go
@@ -150,3 +150,37 @@
 		}
 	}
 }
+
+// A target that turns cold says so in its responses at once, and the store a heartbeat and a reading later; until then it got full traffic.
+func TestColdWordOfAResponseCounts(t *testing.T) {
+	b := newBalancer("a1", fleet(2))
+	m := b.targets["a1-0"]
+	now := begin.Add(time.Minute)
+	answer := func(r Report, now time.Time) {
+		b.Start(Choice{Target: "a1-0", Born: 1}, request("object", now), now)
+		r.Target, r.Route, r.Duration = "a1-0", "r", 10*time.Millisecond
+		b.Finish(r, now)
+	}
+	answer(Report{Outcome: Moved, ColdFor: 2 * time.Second}, now)
+	if m.isCold(now) {
+		t.Error("cold by the response of another target at its address")
+	}
+	answer(Report{Outcome: Answered, ColdFor: 2 * time.Second}, now)
+	if !m.isCold(now.Add(1900*time.Millisecond)) || m.isCold(now.Add(2100*time.Millisecond)) {
+		t.Error("not cold for the two seconds that it said")
+	}
+	sent := 0
+	for at := now; at.Before(now.Add(2 * time.Second)); at = at.Add(10 * time.Millisecond) {
+		if b.usableNow(m, request("object", at), at) {
+			answer(Report{Outcome: Answered}, at)
+			sent++
+		}
+	}
+	if sent > 4 {
+		t.Errorf("%d requests in 2 s, want at most 4", sent)
+	}
+	answer(Report{Outcome: Answered, ColdFor: 1000 * time.Hour}, now)
+	if m.isCold(now.Add(time.Hour)) {
+		t.Error("cold beyond all bounds")
+	}
+}
--- a/pasteer/outcome.go
+++ b/pasteer/outcome.go
@@ -157,6 +157,7 @@
 		}
 	}
 	b.observeLimit(t, r, now)
+	b.observeCold(t, r, now)
 	b.finishAfterPushback(t, r, now)
 	t.updateFullSince(now)
 	if r.Connected && t.path.lostSince.Before(now.Add(-r.Duration)) {
