pasteer, pagate: a neighbour's word that a target asked it for no requests is a hint

What callers would see: with hundreds of entry VMs that have few requests each, most requests go to targets that have turned away other entry VMs already; both attempts are used up.

Way taken: a note goes with the exchange between neighbours; for two seconds at most others are preferred, unless the target has run a later request of this entry VM, and it is used before a request is refused. What the target asked for itself holds for the entry VM that it asked alone.

--- a/pagate/peers.go
+++ b/pagate/peers.go
@@ -40,7 +40,9 @@
 	endBudget tokenBucket
 	// limitBudget bounds the notes on limits of targets sent to neighbours.
 	limitBudget tokenBucket
-	woken       chan struct{}
+	// pushbackBudget bounds the notes on pushbacks sent to neighbours.
+	pushbackBudget tokenBucket
+	woken          chan struct{}
 	// fullSyncRunning says that a neighbour is being asked for its whole state, for want of history.
 	fullSyncRunning atomic.Bool
 }
@@ -65,8 +67,9 @@
 	// received.
 	entry    pafleet.Entry
 	lastNote uint64
-	// ends and limits are how far both have told each other their findings on ended targets, and their notes on limits.
-	ends, limits notePosition
+	// ends, limits and pushbacks are how far both have told each other their findings on ended targets, and their notes on limits and
+	// on pushbacks.
+	ends, limits, pushbacks notePosition
 }
 
 // notePosition is how far an entry VM and a neighbour have told each other their notes of one kind, by the numbers of each.
@@ -86,6 +89,7 @@
 		noteBudget:  tokenBucket{rate: notesPerSecond, burst: maxNoteBurst},
 		endBudget:   tokenBucket{rate: endsPerSecond, burst: maxEndBurst},
 		limitBudget: tokenBucket{rate: limitsPerSecond, burst: maxLimitBurst}, woken: make(chan struct{}, 1),
+		pushbackBudget: tokenBucket{rate: pushbacksPerSecond, burst: maxPushbackBurst},
 	}
 }
 
--- a/pagate/sync.go
+++ b/pagate/sync.go
@@ -90,16 +90,17 @@
 			return nil, trace.Wrap(err)
 		}
 		c.conn, c.entry, c.lastNote = drpcconn.New(raw), pafleet.Entry{}, 0
-		c.ends, c.limits = notePosition{}, notePosition{}
+		c.ends, c.limits, c.pushbacks = notePosition{}, notePosition{}, notePosition{}
 	}
 	q := &pawire.SyncRequest{
 		Name: p.gate.self.Name, Revision: uint64(since), Leaving: p.gate.shuttingDown.Load(),
 		WarmAfter: c.lastNote, WarmWanted: p.gate.wantsNotes(e), Lost: p.gate.lostPathsOut(), EndsAfter: c.ends.received,
-		LimitsAfter: c.limits.received,
+		LimitsAfter: c.limits.received, PushbacksAfter: c.pushbacks.received,
 	}
-	var sentEnd, sentLimit uint64
+	var sentEnd, sentLimit, sentPushback uint64
 	q.Ends, sentEnd = p.endsAfter(c.ends.sent)
 	q.Limits, sentLimit = p.limitsAfter(c.limits.sent)
+	q.Pushbacks, sentPushback = p.pushbacksAfter(c.pushbacks.sent)
 	if !wantChanges {
 		q.Revision = noChangesRevision
 	}
@@ -108,7 +109,7 @@
 	}
 	r, err := pawire.NewDRPCSyncingClient(c.conn).Sync(ctx, q)
 	if err == nil {
-		c.ends.sent, c.limits.sent = sentEnd, sentLimit
+		c.ends.sent, c.limits.sent, c.pushbacks.sent = sentEnd, sentLimit, sentPushback
 	}
 	return r, trace.Wrap(err)
 }
@@ -138,7 +139,8 @@
 	}
 	p.receiveEnds(r.GetEnds())
 	p.receiveLimits(r.GetLimits())
-	c.ends.received, c.limits.received = r.GetEndsLast(), r.GetLimitsLast()
+	p.receivePushbacks(r.GetPushbacks())
+	c.ends.received, c.limits.received, c.pushbacks.received = r.GetEndsLast(), r.GetLimitsLast(), r.GetPushbacksLast()
 	if r.GetNoHistory() {
 		return
 	}
@@ -178,6 +180,8 @@
 	r.Ends, r.EndsLast = p.endsAfter(q.GetEndsAfter())
 	p.receiveLimits(q.GetLimits())
 	r.Limits, r.LimitsLast = p.limitsAfter(q.GetLimitsAfter())
+	p.receivePushbacks(q.GetPushbacks())
+	r.Pushbacks, r.PushbacksLast = p.pushbacksAfter(q.GetPushbacksAfter())
 	if q.GetWarmWanted() {
 		r.Warm, r.WarmLast = p.notesAfter(q.GetWarmAfter())
 	}
--- a/pasteer/avoid.go
+++ b/pasteer/avoid.go
@@ -39,18 +39,17 @@
 }
 
 // isAvoided reports whether other targets are preferred to this one.
-func (t *target) isAvoided(now time.Time) bool { return now.Before(t.avoidUntil) }
+func (t *target) isAvoided(now time.Time) bool {
+	return now.Before(t.avoidUntil) || now.Before(t.hintUntil)
+}
 
-// useAvoided makes the avoided candidates usable if no other is: most requests fail then, but a target that turns away only a part
-// would otherwise be lost as well.
+// useAvoided makes the avoided candidates usable, where the others cannot serve a request: most requests fail then, but a target that
+// turns away only a part would otherwise be lost as well.
 func (l *shortlist) useAvoided() {
-	if l.usable > 0 || l.avoided == 0 {
-		return
-	}
 	for i := range l.all {
 		l.all[i].usable = l.all[i].usable || l.all[i].avoided
 	}
-	l.usable = l.avoided
+	l.usable, l.avoided = l.usable+l.avoided, 0
 }
 
 // PrefersAnother reports whether a request that the chosen target turned away is to be sent to another one now.
--- a/pasteer/balancer.go
+++ b/pasteer/balancer.go
@@ -68,6 +68,9 @@
 	// taken yet.
 	pushbacks       map[lifetime]*pushback
 	pushbackChanges []PushbackChange
+	// hints are the latest notes on pushbacks, hintSeq the number of the last one.
+	hints   map[lifetime]hint
+	hintSeq uint64
 	// drainings are the lifetimes of targets that said in a response that they are shutting down, and when.
 	drainings map[lifetime]time.Time
 	// peers are the other entry VMs that may take requests; relayStates is what is known of them from those they took.
@@ -138,6 +141,9 @@
 	// shedStreak is how many requests in a row the target turned away with a free slot; others are preferred to it until avoidUntil.
 	shedStreak int
 	avoidUntil time.Time
+	// Others are also preferred until hintUntil, as the target asked another entry VM for no requests at hintedAt. ranAt is when the
+	// latest request was sent that the target ran.
+	hintedAt, hintUntil, ranAt time.Time
 	// suspectColdUntil and evacuatedColdUntil are until when this entry VM presumes the target cold, whatever the target
 	// itself reports: after it refused a connection, and after the end of its zone's evacuation. reportedColdUntil is until when it
 	// is cold by its responses.
@@ -161,6 +167,7 @@
 		splits: map[string]*paroute.Splitter{}, runTimes: map[string]*runTimes{}, used: map[string]bool{},
 		warmTargets: map[uint64][]*target{}, entryCount: 1, coldShares: map[string]coldShare{},
 		relayStates: map[string]*relayState{}, pushbacks: map[lifetime]*pushback{}, drainings: map[lifetime]time.Time{},
+		hints: map[lifetime]hint{},
 	}
 }
 
--- a/pasteer/choose.go
+++ b/pasteer/choose.go
@@ -115,14 +115,21 @@
 	}
 	q.cachedKey = q.key()
 	l := b.buildShortlist(svc, q, now)
-	l.useAvoided()
+	if l.usable == 0 {
+		l.useAvoided()
+	}
 	switch {
 	case l.usable == 0 && l.limited && !q.Direct && !b.Config.Off.Relays && b.hasLimitSender(svc, q, now):
 		return Choice{Target: svc.limited[0].state.ID, Relay: true, ToSender: true}
 	case l.usable == 0:
 		return l.refusal()
 	}
-	return b.pick(svc, l.all, q, now)
+	c := b.pick(svc, l.all, q, now)
+	if c.Target == "" && l.avoided > 0 {
+		l.useAvoided()
+		c = b.pick(svc, l.all, q, now)
+	}
+	return c
 }
 
 // refusal refuses a request for which no target is usable, for the reason that is over first.
--- a/pasteer/outcome.go
+++ b/pasteer/outcome.go
@@ -184,6 +184,7 @@
 		t.failures = 0
 		t.errors.add(0, now)
 		t.endShedStreak()
+		t.noteRun(now.Add(-r.Duration))
 		b.recordUse(t, r.Object, now)
 	case Failed:
 		t.errors.add(1, now)
--- a/pasteer/pushback.go
+++ b/pasteer/pushback.go
@@ -71,6 +71,7 @@
 		}
 		b.pushbackChanges = append(b.pushbackChanges, PushbackChange{Target: target, Service: p.service, Wait: wait})
 	}
+	b.addHint(id, now, now.Add(min(wait, maxHintTime)))
 	// An earlier response that asked for longer still holds.
 	if until := now.Add(wait); until.After(p.until) {
 		p.until, p.resumeAt = until, until.Add(b.resumeDelay(target, wait))
@@ -138,6 +139,7 @@
 // expirePushbacks drops pushbacks that are over or belong to an earlier lifetime of a target, and the first to end of too many whose
 // targets are missing.
 func (b *Balancer) expirePushbacks(now time.Time) {
+	b.expireHints(now)
 	var absent []lifetime
 	for id, p := range b.pushbacks {
 		t := b.targets[id.target]
--- a/pasteer/pushback_model_test.go
+++ b/pasteer/pushback_model_test.go
@@ -15,9 +15,10 @@
 type pushbackWay int
 
 const (
-	// ownWord is the way of the product. toldWord has neighbours keep to what one of them was told; noReturn ends a pushback for all
-	// requests at the moment that the target named.
-	ownWord pushbackWay = iota
+	// hinted is the way of the product. ownWord tells neighbours nothing; toldWord has them keep to what one of them was told; noReturn
+	// ends a pushback for all requests at the moment that the target named.
+	hinted pushbackWay = iota
+	ownWord
 	toldWord
 	noReturn
 )
@@ -26,8 +27,10 @@
 // all requests away for a while and ask for no requests.
 type pushbackModel struct {
 	*limitModel
-	way    pushbackWay
-	events eventHeap
+	way pushbackWay
+	// hintLasts are the last notes on pushbacks that each entry VM has of others, by their indexes.
+	hintLasts map[[2]int]uint64
+	events    eventHeap
 	// turnsAway returns the time that a target asks for, or 0 if it takes requests.
 	turnsAway func(target string, at time.Duration) time.Duration
 	inQueue   map[string]int
@@ -61,7 +64,7 @@
 
 func newPushbackModel(entries int, way pushbackWay, turnsAway func(target string, at time.Duration) time.Duration) *pushbackModel {
 	m := &pushbackModel{
-		limitModel: newLimitModel(entries, nil), way: way, turnsAway: turnsAway, inQueue: map[string]int{}, warm: map[string]bool{}, arrivals: map[string][]modelArrival{},
+		limitModel: newLimitModel(entries, nil), way: way, hintLasts: map[[2]int]uint64{}, turnsAway: turnsAway, inQueue: map[string]int{}, warm: map[string]bool{}, arrivals: map[string][]modelArrival{},
 	}
 	for _, b := range m.all {
 		b.Config.RetryRatio, b.Config.RetryFloor = 0.2, 160
@@ -192,6 +195,11 @@
 			notes, last := m.all[edge[1]].WarmNotes(m.lasts[edge], 200, now)
 			m.lasts[edge] = last
 			b.ApplyNotes(notes, now)
+			if m.way != ownWord {
+				hints, last := m.all[edge[1]].PushbackNotes(m.hintLasts[edge], 64, now)
+				m.hintLasts[edge] = last
+				b.ApplyPushbackNotes(hints, now)
+			}
 		}
 	}
 }
@@ -251,7 +259,7 @@
 		for _, asking := range []int{1, 6, 12} {
 			t.Run(fmt.Sprintf("%d entry VMs, %d of 12 targets", entries, asking), func(t *testing.T) {
 				t.Parallel()
-				m := newPushbackModel(entries, ownWord, nil)
+				m := newPushbackModel(entries, hinted, nil)
 				m.turnsAway = askingFrom(m.targetIDs()[:asking], 3*time.Second, 6*time.Second)
 				sent, served := m.play(14*time.Second, 300)
 				if most := m.mostInPushback(); most > 2 {
@@ -279,7 +287,7 @@
 	}
 	for _, entries := range []int{7, 30, 300} {
 		for _, asking := range []int{1, 6, 12} {
-			for way, name := range []string{"own word", "told to neighbours", "no return"} {
+			for way, name := range []string{"own word, a hint to others", "own word alone", "told to neighbours", "no return"} {
 				m := newPushbackModel(entries, pushbackWay(way), nil)
 				m.turnsAway = askingFrom(m.targetIDs()[:asking], 3*time.Second, 6*time.Second)
 				sent, served := m.play(14*time.Second, 300)
