--- a/pasteer/draining.go
+++ b/pasteer/draining.go
@@ -1,17 +1,10 @@
 package pasteer
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // A target that shuts down reports that to the store, or says so in its responses, or both; the first word counts. What a response
 // said holds for the rest of the target's lifetime, whatever later responses and the store say.
 
-// maxAbsentDrainings bounds how many are kept for targets that are missing in the view; each takes some 100 bytes.
-const maxAbsentDrainings = 4096
-
 // NoteDraining records that a target said in a response that it is shutting down, and reports whether that is new.
 func (b *Balancer) NoteDraining(target string, born int64, now time.Time) bool {
 	id := lifetime{target, born}
@@ -53,13 +46,7 @@
 			delete(b.drainings, id)
 		}
 	}
-	if len(absent) <= maxAbsentDrainings {
-		return
-	}
-	slices.SortFunc(absent, func(x, y lifetime) int {
-		return cmp.Or(b.drainings[x].Compare(b.drainings[y]), cmp.Compare(x.target, y.target))
-	})
-	for _, id := range absent[:len(absent)-maxAbsentDrainings] {
+	for _, id := range beyondBound(absent, func(x, y lifetime) int { return b.drainings[x].Compare(b.drainings[y]) }) {
 		delete(b.drainings, id)
 	}
 }
--- a/pasteer/draining_test.go
+++ b/pasteer/draining_test.go
@@ -47,12 +47,12 @@
 func TestWordsOfDrainingOfAbsentTargetsAreBounded(t *testing.T) {
 	v := fleet(2)
 	b := newBalancer("a1", v)
-	for i := range 2 * maxAbsentDrainings {
+	for i := range 2 * maxAbsent {
 		b.NoteDraining(fmt.Sprint("gone-", i), 1, begin.Add(time.Duration(i)*time.Millisecond))
 	}
 	b.NoteDraining("a1-0", 1, begin)
 	b.Update(v, begin.Add(time.Minute))
-	if n := b.DrainingTargets(); n != maxAbsentDrainings+1 || !b.targets["a1-0"].excluded {
-		t.Errorf("%d are kept, want %d with the one that is there", n, maxAbsentDrainings+1)
+	if n := b.DrainingTargets(); n != maxAbsent+1 || !b.targets["a1-0"].excluded {
+		t.Errorf("%d are kept, want %d with the one that is there", n, maxAbsent+1)
 	}
 }
--- a/pasteer/limitnote.go
+++ b/pasteer/limitnote.go
@@ -1,9 +1,6 @@
 package pasteer
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // LimitNote is what entry VMs tell each other of a target's limit.
 type LimitNote struct {
@@ -20,28 +17,20 @@
 // LimitNotes returns up to count notes that follow the one numbered after, and the number of the last one returned.
 func (b *Balancer) LimitNotes(after uint64, count int, now time.Time) ([]LimitNote, uint64) {
 	if after > b.limitSeq {
-		after = 0
+		after = 0 // It is of an earlier process.
 	}
-	if after == b.limitSeq || count <= 0 {
-		return nil, after
-	}
-	var all []*target
-	for _, t := range b.targets {
+	var ids []lifetime
+	for id, t := range b.targets {
 		if t.limit.seq > after && now.Sub(t.limit.observedAt) < limitTTL {
-			all = append(all, t)
+			ids = append(ids, lifetime{id, t.state.Born})
 		}
 	}
-	slices.SortFunc(all, func(x, y *target) int { return int(x.limit.seq) - int(y.limit.seq) })
-	last := b.limitSeq
-	if len(all) > count {
-		all = all[:count]
-		last = all[count-1].limit.seq
-	}
-	notes := make([]LimitNote, 0, len(all))
-	for _, t := range all {
+	ids, last := notesAfter(ids, func(id lifetime) uint64 { return b.targets[id.target].limit.seq }, after, b.limitSeq, count)
+	notes := make([]LimitNote, 0, len(ids))
+	for _, id := range ids {
+		l := b.targets[id.target].limit
 		notes = append(notes, LimitNote{
-			Target: t.state.ID, Born: t.state.Born, Limited: t.limit.limited, PerSecond: t.limit.perSecond,
-			Age: max(0, now.Sub(t.limit.observedAt)),
+			Target: id.target, Born: id.born, Limited: l.limited, PerSecond: l.perSecond, Age: max(0, now.Sub(l.observedAt)),
 		})
 	}
 	return notes, last
--- a/pasteer/pushback.go
+++ b/pasteer/pushback.go
@@ -1,9 +1,7 @@
 package pasteer
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -13,12 +11,6 @@
 // VM sends, so every decision asks Balancer.pushbackWait, and every send asks Balancer.MaySend once more before its first byte.
 // The word is this entry VM's own: others may still be welcome there, and no request takes a detour over one of them.
 
-// lifetime identifies one run of a target's process.
-type lifetime struct {
-	target string
-	born   int64
-}
-
 // pushback is a time for which a target asked this entry VM to send it nothing, and what follows until the target answers again.
 type pushback struct {
 	service string
@@ -36,8 +28,6 @@
 const (
 	// MaxPushback bounds the time for which a target may ask; it restarts within that, or its operator does.
 	MaxPushback = 24 * time.Hour
-	// maxAbsentPushbacks bounds how many are kept for targets that are missing in the view; each takes some 150 bytes.
-	maxAbsentPushbacks = 4096
 	// resumeSpacing is the mean time between the first requests of two entry VMs after a pushback: a target with a few slots runs a
 	// short request in about that time. The last one is late by resumeShare of the time that was asked for at most.
 	resumeSpacing = 20 * time.Millisecond
@@ -152,13 +142,7 @@
 			absent = append(absent, id)
 		}
 	}
-	if len(absent) <= maxAbsentPushbacks {
-		return
-	}
-	slices.SortFunc(absent, func(x, y lifetime) int {
-		return cmp.Or(b.pushbacks[x].until.Compare(b.pushbacks[y].until), cmp.Compare(x.target, y.target))
-	})
-	for _, id := range absent[:len(absent)-maxAbsentPushbacks] {
+	for _, id := range beyondBound(absent, func(x, y lifetime) int { return b.pushbacks[x].until.Compare(b.pushbacks[y].until) }) {
 		b.endPushback(id, now)
 	}
 }
--- a/pasteer/pushback_test.go
+++ b/pasteer/pushback_test.go
@@ -259,13 +259,13 @@
 func TestPushbacksOfAbsentTargetsAreBounded(t *testing.T) {
 	v := fleet(2)
 	b := newBalancer("a1", v)
-	for i := range 3 * maxAbsentPushbacks {
+	for i := range 3 * maxAbsent {
 		b.PushBack(fmt.Sprint("gone-", i), 1, time.Hour+time.Duration(i)*time.Millisecond, begin)
 	}
 	b.PushBack("a1-0", 1, time.Minute, begin)
 	b.PushbackChanges(begin)
-	if n := len(b.pushbacks); n != maxAbsentPushbacks+1 {
-		t.Errorf("%d are kept, want %d", n, maxAbsentPushbacks+1)
+	if n := len(b.pushbacks); n != maxAbsent+1 {
+		t.Errorf("%d are kept, want %d", n, maxAbsent+1)
 	}
 	if b.available(b.targets["a1-0"], begin.Add(time.Second)) {
 		t.Error("a target that is there was dropped for one that is not")
--- a/pasteer/pushbacknote.go
+++ b/pasteer/pushbacknote.go
@@ -1,10 +1,6 @@
 package pasteer
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // A pushback is this entry VM's own. To others it is a hint that the target may turn them away as well: they prefer other targets for
 // a moment, unless it has just run a request of theirs, and use it before they refuse a request. It answers the load of many entry VMs
@@ -65,13 +61,7 @@
 			ids = append(ids, id)
 		}
 	}
-	slices.SortFunc(ids, func(x, y lifetime) int { return cmp.Compare(b.hints[x].seq, b.hints[y].seq) })
-	last := b.hintSeq
-	if count = max(0, count); len(ids) > count {
-		if ids, last = ids[:count], after; count > 0 {
-			last = b.hints[ids[count-1]].seq
-		}
-	}
+	ids, last := notesAfter(ids, func(id lifetime) uint64 { return b.hints[id].seq }, after, b.hintSeq, count)
 	notes := make([]PushbackNote, 0, len(ids))
 	for _, id := range ids {
 		h := b.hints[id]
