--- a/pagate/forward.go
+++ b/pagate/forward.go
@@ -9,18 +9,17 @@
 
 // forward sends the request to targets until one responds, and writes the response.
 func (g *Gate) forward(ctx context.Context, w http.ResponseWriter, x *exchange) {
-	var last attemptResult
-	for unsent, sheds, room := 0, 0, false; ; {
+	var a attempts
+	for {
 		c := g.choose(x)
-		if c.Target == "" {
-			if room && c.Reason == pasteer.ReasonNoTarget {
-				g.answerLastFailure(w, x, last, room)
-				return
-			}
+		switch {
+		case c.Target == "" && a.room && c.Reason == pasteer.ReasonNoTarget:
+			g.answerLastFailure(w, x, a.last, true)
+			return
+		case c.Target == "":
 			g.answerNoTarget(w, x, c)
 			return
-		}
-		if c.Relay {
+		case c.Relay:
 			if g.forwardToRelay(ctx, w, x) {
 				return
 			}
@@ -30,44 +29,64 @@
 		r := g.send(ctx, x, c)
 		g.reportAttempt(x, r)
 		g.noteOutcome(x, c, r, sent)
-		if r.outcome == pasteer.Shed {
-			x.sheds++
-		}
-		switch {
-		case r.reply != nil && !g.takeRetry(x, r):
-			g.writeReply(w, x, r)
+		if g.finishAttempt(w, x, c, r, &a) {
 			return
-		case x.clientCtx.Err() != nil:
-			g.recordEnd(x, 0, reasonClientGone)
-			panic(http.ErrAbortHandler)
-		}
-		if r.reply != nil {
-			x.failedReply = r.reply
 		}
-		x.mayHaveExecuted = x.mayHaveExecuted || !r.notExecuted
-		if r.outcome == pasteer.Refused || r.outcome == pasteer.Withheld {
-			if unsent++; unsent < maxUnsent {
-				if r.outcome == pasteer.Refused {
-					x.unreached = append(x.unreached, c.Target)
-				}
-				continue
+	}
+}
+
+// attempts are those of one request at targets.
+type attempts struct {
+	// unsent is how many ended before anything was sent, sheds how often the request was sent to a target again that had turned it away.
+	unsent, sheds int
+	// last is the result of the latest one; room says that its target turned the request away although it had free slots.
+	last attemptResult
+	room bool
+}
+
+// finishAttempt handles the result of an attempt, and reports whether the client has its response.
+func (g *Gate) finishAttempt(w http.ResponseWriter, x *exchange, c pasteer.Choice, r attemptResult, a *attempts) (responded bool) {
+	switch {
+	case r.reply != nil && !g.takeRetry(x, r):
+		g.writeReply(w, x, r)
+		return true
+	case x.clientCtx.Err() != nil:
+		g.recordEnd(x, 0, reasonClientGone)
+		panic(http.ErrAbortHandler)
+	}
+	if r.reply != nil {
+		x.failedReply = r.reply
+	}
+	x.mayHaveExecuted = x.mayHaveExecuted || !r.notExecuted
+	if r.isUnsent() {
+		if a.unsent++; a.unsent < maxUnsent {
+			if r.outcome == pasteer.Refused {
+				x.unreached = append(x.unreached, c.Target)
 			}
+			return false
 		}
-		var again bool
-		room, again = g.shedWithRoom(c, r)
-		last = r
-		if r.reply == nil && (again && sheds >= maxSheds || !g.takeRetry(x, r)) {
-			g.answerLastFailure(w, x, r, room)
-			return
-		}
-		if again {
-			sheds++
-			continue
-		}
-		x.tried = append(x.tried, c.Target)
 	}
+	if r.outcome == pasteer.Shed {
+		x.sheds++
+	}
+	var again bool
+	a.last = r
+	a.room, again = g.shedWithRoom(c, r)
+	if r.reply == nil && (again && a.sheds >= maxSheds || !g.takeRetry(x, r)) {
+		g.answerLastFailure(w, x, r, a.room)
+		return true
+	}
+	if again {
+		a.sheds++
+		return false
+	}
+	x.tried = append(x.tried, c.Target)
+	return false
 }
 
+// isUnsent reports whether nothing of the request reached the target.
+func (r *attemptResult) isUnsent() bool { return r.outcome == pasteer.Refused || r.outcome == pasteer.Withheld }
+
 // maxUnsent is how many targets are tried that refuse the connection, or want no requests once it is open. Nothing reached them, so
 // that they do not count as attempts; in a zone that has just failed, a service has a handful of targets.
 const maxUnsent = 4
