pagate: a request that was turned away does not wait for the body of that response

What callers would see: two seconds lost where a target sends the header of its 503 and the body later. Cause: the body was read to its end before the request was sent elsewhere. Now it has 20 ms, then the connection is closed.

--- a/pagate/forward.go
+++ b/pagate/forward.go
@@ -85,7 +85,9 @@
 }
 
 // isUnsent reports whether nothing of the request reached the target.
-func (r *attemptResult) isUnsent() bool { return r.outcome == pasteer.Refused || r.outcome == pasteer.Withheld }
+func (r *attemptResult) isUnsent() bool {
+	return r.outcome == pasteer.Refused || r.outcome == pasteer.Withheld
+}
 
 // maxUnsent is how many targets are tried that refuse the connection, or want no requests once it is open. Nothing reached them, so
 // that they do not count as attempts; in a zone that has just failed, a service has a handful of targets.
--- a/pagate/response.go
+++ b/pagate/response.go
@@ -53,13 +53,24 @@
 	}
 	r := a.classify(response)
 	if r.outcome == pasteer.Shed || r.outcome == pasteer.Moved {
-		_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBuffered))
-		a.releaseConn(response, err == nil)
+		a.releaseConn(response, a.discardBody(response))
 		return r
 	}
 	return a.readBody(ctx, response, r)
 }
 
+// refusalBodyTimeout is how long the body of a response is awaited that nobody gets. A connection without it is closed.
+const refusalBodyTimeout = 20 * time.Millisecond
+
+// discardBody reads the body of a response that is not passed on, and reports whether it was whole. The request waits meanwhile.
+func (a *attempt) discardBody(response *http.Response) bool {
+	if err := a.conn.SetReadDeadline(a.gate.config.Clock.Now().Add(refusalBodyTimeout)); err != nil {
+		return false
+	}
+	_, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBuffered))
+	return err == nil
+}
+
 // readBody reads the body of a response that is passed on, and adds both to the outcome.
 func (a *attempt) readBody(ctx context.Context, response *http.Response, r attemptResult) attemptResult {
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBuffered+1))
