pagate: during a shutdown a late request is taken only if it completes behind a full queue too

Cause: the entry VM takes requests for 3.3 s, as some callers keep a look-up for 3 s, and asks only whether twice the target latency is left. The target's queue lasted 6.2 s; callers that come later than 3 s have other entry VMs.

Fix: later than 3 s after the start of a shutdown a request is taken if its deadline, or four times the target latency (one run and a queue of three), is over before its end, and refused at once otherwise.

Seen: platform "takes late requests only if they complete in a long queue too" fails without it (200, 503 wanted).

--- a/pagate/stop.go
+++ b/pagate/stop.go
@@ -11,7 +11,9 @@
 const (
 	// lameDuckTime is how long after the start of a shutdown new connections are accepted: some clients cache the
 	// response to a look-up for three times its TTL, and need a little longer to connect.
-	lameDuckTime = 3*lookUpTTL + 300*time.Millisecond
+	lameDuckTime = maxLookUpAge + 300*time.Millisecond
+	// maxLookUpAge is how long after a look-up clients may still use it.
+	maxLookUpAge = 3 * lookUpTTL
 	// closeConnsAfter is when responses begin to close their connections; clients that repeat the look-up use
 	// other entry VMs by then.
 	closeConnsAfter = lookUpTTL + 500*time.Millisecond
@@ -22,6 +24,9 @@
 	cancelMargin = 200 * time.Millisecond
 )
 
+// queuedRuns is how many runs one after the other a request waits for at a target with a full queue, its own included.
+const queuedRuns = 4
+
 // closesConns reports whether responses close their connections.
 func (g *Gate) closesConns() bool {
 	return g.shuttingDown.Load() && g.config.Clock.Now().UnixNano()-g.shutdownAt.Load() > int64(closeConnsAfter)
@@ -29,11 +34,19 @@
 
 // canFinish reports whether a request that arrives now can complete before the process exits. During a shutdown a
 // long request that starts late would be cut off by the kill; refused at once, it runs elsewhere.
+//
+// Clients with an old look-up have no other entry VM to go to, so that a request of theirs is taken if it will most likely complete.
+// Later ones do, and are taken if they complete behind a full queue too.
 func (g *Gate) canFinish(x *exchange) bool {
 	if !g.shuttingDown.Load() {
 		return true
 	}
-	remaining := time.Duration(g.shutdownAt.Load()-g.config.Clock.Now().UnixNano()) + g.config.Settings.GracePeriod - killMargin - cancelMargin
+	now := g.config.Clock.Now()
+	since := time.Duration(now.UnixNano() - g.shutdownAt.Load())
+	remaining := g.config.Settings.GracePeriod - killMargin - cancelMargin - since
+	if since > maxLookUpAge {
+		return min(x.deadline.Sub(now), queuedRuns*x.route.TargetLatency) < remaining
+	}
 	return x.route.TargetLatency*2 < remaining
 }
 
