--- a/pagate/loop.go
+++ b/pagate/loop.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"papayahead/pafleet"
@@ -165,7 +167,7 @@
 	}
 	next := &state{
 		table: old.table, revision: v.Revision, verifiedAt: verifiedAt, entries: old.entries, fleetPeak: old.fleetPeak,
-		registered: old.registered, limiter: v.Limiter, limiterAt: v.LimiterRevision,
+		registered: old.registered, limiter: v.Limiter, limiterAt: v.LimiterRevision, evacuated: old.evacuated,
 	}
 	if changed {
 		g.logChanges(v, old, now)
@@ -174,6 +176,7 @@
 			next.entries = append(next.entries, e)
 		}
 		_, next.registered = v.Entries[g.self.Name]
+		next.evacuated = slices.Sorted(maps.Keys(v.Evacuated))
 		next.fleetPeak = g.fleetPeak.observe(len(v.Entries), g.uptime())
 		if v.Config != nil && (old.table == nil || old.table.Config != v.Config) {
 			next.table = paroute.NewTable(v.Config)
--- a/pagate/state.go
+++ b/pagate/state.go
@@ -22,6 +22,8 @@
 	// limiter is the entry VM that keeps the token pools of rate limits, as of the store's revision limiterAt.
 	limiter   string
 	limiterAt pafleet.Revision
+	// evacuated are the evacuated availability zones, ordered by name.
+	evacuated []string
 }
 
 // longBeforeStart is an uptime before the machine's start.
--- a/panetwork/conn.go
+++ b/panetwork/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,8 +26,7 @@
 }
 
 func newPair(n *Network, a, b netip.AddrPort) (near, far *conn) {
-	to := newStream(func() bool { return n.isCut(a.Addr(), b.Addr()) })
-	back := newStream(func() bool { return n.isCut(b.Addr(), a.Addr()) })
+	to, back := newStream(n, a.Addr(), b.Addr()), newStream(n, b.Addr(), a.Addr())
 	return &conn{network: n, local: a, remote: b, in: back, out: to},
 		&conn{network: n, local: b, remote: a, in: to, out: back}
 }
@@ -79,11 +79,16 @@
 
 // stream is one direction of a connection.
 type stream struct {
-	cut func() bool
-
-	mu        sync.Mutex
-	cond      *sync.Cond
-	buffer    []byte
+	network  *Network
+	from, to netip.Addr
+
+	mu   sync.Mutex
+	cond *sync.Cond
+	// segments are what is under way, in order, and buffered is its size.
+	segments []segment
+	buffered int
+	// arrival wakes a reader when the first segment arrives.
+	arrival   *time.Timer
 	ended     bool
 	silent    bool
 	failed    error
@@ -91,6 +96,12 @@
 	writtenBy deadline
 }
 
+// segment is what one write sent, and when it arrives.
+type segment struct {
+	arrives time.Time
+	bytes   []byte
+}
+
 // deadline wakes a stream when its time has come.
 type deadline struct {
 	at    time.Time
@@ -100,8 +111,8 @@
 // passed goes by the wall clock, because the deadlines of net.Conn do.
 func (d *deadline) passed() bool { return !d.at.IsZero() && !time.Now().Before(d.at) }
 
-func newStream(cut func() bool) *stream {
-	s := &stream{cut: cut}
+func newStream(n *Network, from, to netip.Addr) *stream {
+	s := &stream{network: n, from: from, to: to}
 	s.cond = sync.NewCond(&s.mu)
 	return s
 }
@@ -110,24 +121,51 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for {
-		open := !s.silent && !s.cut()
+		open := !s.silent && !s.network.isCut(s.from, s.to)
 		switch {
 		case s.failed != nil:
 			return 0, s.failed
 		case s.readBy.passed():
 			return 0, os.ErrDeadlineExceeded
-		case open && len(s.buffer) > 0:
-			n := copy(p, s.buffer)
-			s.buffer = s.buffer[n:]
-			s.cond.Broadcast()
-			return n, nil
-		case open && s.ended:
+		case open && s.hasArrived():
+			return s.take(p), nil
+		case open && s.ended && len(s.segments) == 0:
 			return 0, io.EOF
 		}
 		s.cond.Wait()
 	}
 }
 
+// hasArrived reports whether the first segment is there; if one is under way, it has the reader woken then. The mutex is held.
+func (s *stream) hasArrived() bool {
+	if len(s.segments) == 0 {
+		return false
+	}
+	left := time.Until(s.segments[0].arrives)
+	if s.segments[0].arrives.IsZero() || left <= 0 {
+		return true
+	}
+	if s.arrival == nil {
+		s.arrival = time.AfterFunc(left, s.wake)
+	} else {
+		s.arrival.Reset(left)
+	}
+	return false
+}
+
+// take reads from the first segment. The mutex is held.
+func (s *stream) take(p []byte) int {
+	first := &s.segments[0]
+	n := copy(p, first.bytes)
+	first.bytes = first.bytes[n:]
+	s.buffered -= n
+	if len(first.bytes) == 0 {
+		s.segments = s.segments[1:]
+	}
+	s.cond.Broadcast()
+	return n
+}
+
 func (s *stream) write(p []byte) (int, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -140,12 +178,13 @@
 			return written, net.ErrClosed
 		case s.writtenBy.passed():
 			return written, os.ErrDeadlineExceeded
-		case len(s.buffer) >= windowSize:
+		case s.buffered >= windowSize:
 			s.cond.Wait()
 			continue
 		}
-		n := min(len(p), windowSize-len(s.buffer))
-		s.buffer = append(s.buffer, p[:n]...)
+		n := min(len(p), windowSize-s.buffered)
+		s.segments = append(s.segments, segment{arrives: s.network.arrival(s.from, s.to, n), bytes: slices.Clone(p[:n])})
+		s.buffered += n
 		p = p[n:]
 		written += n
 		s.cond.Broadcast()
--- a/panetwork/network.go
+++ b/panetwork/network.go
@@ -5,12 +5,17 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/gravitational/trace"
 )
 
 // Network connects hosts. The zero value is ready; it may be used from many goroutines.
 type Network struct {
+	// Arrival returns when bytes arrive that are sent now; nil and the zero time mean at once. It must not decrease
+	// for the same hosts. It may be called from many goroutines.
+	Arrival func(from, to netip.Addr, bytes int) time.Time
+
 	mu        sync.Mutex
 	listeners map[netip.AddrPort]*listener
 	cuts      map[direction]bool
@@ -59,9 +64,36 @@
 	if err := h.Network.awaitPath(ctx, h.Address, to.Addr()); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	if err := h.Network.shakeHands(ctx, h.Address, to.Addr()); err != nil {
+		return nil, trace.Wrap(err)
+	}
 	return h.Network.connect(h.Address, to)
 }
 
+// shakeHands waits for a round trip between two hosts.
+func (n *Network) shakeHands(ctx context.Context, a, b netip.Addr) error {
+	for _, d := range []direction{{a, b}, {b, a}} {
+		t := n.arrival(d.from, d.to, 0)
+		if t.IsZero() {
+			continue
+		}
+		select {
+		case <-time.After(time.Until(t)):
+		case <-ctx.Done():
+			return trace.ConnectionProblem(ctx.Err(), "connection to %s timed out", b)
+		}
+	}
+	return nil
+}
+
+// arrival returns when bytes arrive that are sent now, or the zero time for at once.
+func (n *Network) arrival(from, to netip.Addr, bytes int) time.Time {
+	if n.Arrival == nil {
+		return time.Time{}
+	}
+	return n.Arrival(from, to, bytes)
+}
+
 func (n *Network) connect(from netip.Addr, to netip.AddrPort) (net.Conn, error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
