pagate, platform: after a loss of the store's history few entry VMs list the store, and a listing on busy links ends

Cause: a watch after the loss ends in 410 and everything has to be listed. A listing had storeTimeout (1.5 s) in all, however many pages it had and however slow the links were, and began again from its first page when it did not fit. While the readers were at it nobody else learned anything, so that everybody's age passed the rank's and everybody listed too, over the same links between regions: congestion collapse.

Now a listing has no limit in all. Each of its pages must make progress within 1.5 s and is read again by itself if it fails. Readers list at once; of the others one every 0.5 s by rank within its region, and none while a neighbour that it calls says that it is listing. A failed read's time counts as part of the pause after it.

Why it works: a page that makes progress is never thrown away, so the work on the links falls with each listing that ends; and the number of listings no longer grows with the fleet.

--- a/pagate/peers.go
+++ b/pagate/peers.go
@@ -57,6 +57,8 @@
 	failedAt time.Time
 	// lost are the services whose targets it fails to reach, as it last said.
 	lost lostServices
+	// listingAt is when it last said that it is reading the whole store; zero if it is not.
+	listingAt time.Time
 }
 
 // peerConn is the connection to a neighbour; one call runs on it at a time.
--- a/pagate/sync.go
+++ b/pagate/sync.go
@@ -132,6 +132,7 @@
 		}
 	}
 	p.recordContact(c.entry, r.GetLeaving(), lostPathsIn(r.GetLost()))
+	p.recordListing(c.entry.Name, r.GetListing())
 	if r.GetWarmLast() > 0 {
 		p.gate.traffic.notes.Add(notesSize(r.GetWarm()))
 		p.receiveNotes(r.GetWarm())
@@ -164,7 +165,7 @@
 	s := p.gate.state.Load()
 	r := &pawire.SyncReply{
 		Revision: uint64(s.revision), Leaving: p.gate.shuttingDown.Load(),
-		AgeMicroseconds: p.gate.age(s).Microseconds(), Lost: p.gate.lostPathsOut(),
+		AgeMicroseconds: p.gate.age(s).Microseconds(), Lost: p.gate.lostPathsOut(), Listing: p.gate.listing.Load(),
 	}
 	if len(q.GetEntry()) > 0 {
 		var e pafleet.Entry
