pagate, pafleet: what operators wrote reaches the entry VMs apart from all else, by several watchers of each region and by word among neighbours

Cause: one chain for everything. Configurations and evacuations came by the watch of two readers over all keys, from one source twice a second; whoever had no source waited until its whole state was 2.0 to 3.7 s old, and after a loss of history for a listing of all targets. A small word waited for a large one. Class: a word with a bound shares the fate of bulk data.

Now what operators wrote (pafleet.OperatorState: complete up to a revision of its own) goes apart. In each region four entry VMs, or one in eight, watch the operators' keys (one call in 10 s and one for each change; after a loss of history one page), and so does whoever's state is over 2 s old. Each call among neighbours tells the revision of the latest such change; who lacks it asks that one neighbour, one at a time, and a change wakes the calls at once. A delta carries the complete set of evacuated zones: the property test found that a zone evacuated and restored within a skipped range stayed evacuated at who had heard of it early.

Why it works: the word needs one of four watchers, or any neighbour that has it, and no bulk reading.

--- a/pafleet/delta.go
+++ b/pafleet/delta.go
@@ -26,6 +26,9 @@
 	Zones   []ZoneState    `json:",omitempty"`
 	Entries []Entry        `json:",omitempty"`
 	Left    []EntryRemoved `json:",omitempty"`
+	// Operator is the complete state of what operators wrote, but for the configuration, which stands in Config. A receiver may
+	// know of an evacuation that began and ended within Skipped. Senders of an earlier version leave it out.
+	Operator *OperatorState `json:",omitempty"`
 	// Limiter is set if the entry VM that holds the token pools of the rate limits changed.
 	Limiter *LimiterUpdated `json:",omitempty"`
 }
@@ -91,6 +94,8 @@
 		len(d.Targets)+len(d.Gone)+len(d.Zones)+len(d.Entries)+len(d.Left) == 0 {
 		return nil
 	}
+	o := v.Operator(v.ConfigRevision)
+	d.Operator = &o
 	return d
 }
 
@@ -133,15 +138,21 @@
 	if d.Limiter != nil {
 		all = append(all, *d.Limiter)
 	}
-	if d.Whole {
-		return v.ApplyListing(all, d.Revision, now)
-	}
-	if s := d.Skipped; s != nil {
-		if s.contains(v.Revision) {
+	if s := d.Skipped; s != nil && !d.Whole {
+		if s.contains(v.Revision) || d.Operator == nil && s.contains(v.OperatorRevision()) {
 			return false
 		}
 		v.init()
 		v.history.addSkipped(RevisionRange{After: max(s.After, v.Revision), To: s.To})
 	}
-	return v.ApplyRange(all, d.Since, d.Revision, now)
+	changed := false
+	if d.Operator != nil {
+		o := *d.Operator
+		o.Config, o.ConfigRevision = d.Config, d.ConfigAt
+		changed = v.ApplyOperator(o, now)
+	}
+	if d.Whole {
+		return v.ApplyListing(all, d.Revision, now) || changed
+	}
+	return v.ApplyRange(all, d.Since, d.Revision, now) || changed
 }
--- a/pafleet/model_test.go
+++ b/pafleet/model_test.go
@@ -114,6 +114,8 @@
 	to, lifetime    int
 	since, revision Revision
 	delta           *Delta
+	// operator is set in a reply to a query for what operators wrote.
+	operator *OperatorState
 }
 
 // modelFleet is a set of views that read one store and query each other.
@@ -216,6 +218,27 @@
 	v.ApplyRange(all, v.Revision, f.store.revision, f.now)
 }
 
+// readOperator makes a view read what operators wrote: a complete listing or the changes since it last read.
+func (f *modelFleet) readOperator(v *View, whole bool) {
+	if whole || v.OperatorRevision() < f.store.compacted {
+		v.ApplyOperator(NewOperatorState(f.store.list(), f.store.revision), f.now)
+		return
+	}
+	var all []Change
+	for _, w := range f.store.since(v.OperatorRevision(), false) {
+		if isByOperator(w.change) {
+			all = append(all, w.change)
+		}
+	}
+	v.ApplyOperatorRange(all, v.OperatorRevision(), f.store.revision, f.now)
+}
+
+// queryOperator puts a reply to a neighbour's query for what operators wrote in flight.
+func (f *modelFleet) queryOperator(to, from int) {
+	o := f.views[from].Operator(f.views[to].OperatorRevision())
+	f.replies = append(f.replies, modelReply{to: to, lifetime: f.lifetimes[to], operator: &o})
+}
+
 // query puts a reply to a neighbour's query in flight. A view that lacks the history replies with everything or, if it
 // refuses, not at all.
 func (f *modelFleet) query(to, from int, refuses bool) {
@@ -242,9 +265,13 @@
 	for i, v := range f.views {
 		contents := v.contents()
 		for _, k := range slices.SortedFunc(maps.Keys(f.store.writes), compareKeys) {
-			if v.Revision > 0 && !f.store.mayHold(k, v.Revision, contents[k]) {
+			revision := v.Revision
+			if k.kind == "zone" || k.kind == "config" {
+				revision = v.OperatorRevision()
+			}
+			if revision > 0 && !f.store.mayHold(k, revision, contents[k]) {
 				t.Fatalf("view %d is complete up to %d and holds %q for %v; writes to the store: %v",
-					i, v.Revision, contents[k], k, f.store.writes[k])
+					i, revision, contents[k], k, f.store.writes[k])
 			}
 		}
 	}
@@ -253,7 +280,7 @@
 // step makes one random event happen.
 func (f *modelFleet) step(t *rapid.T) {
 	view := func() int { return rapid.IntRange(0, modelViews-1).Draw(t, "view") }
-	switch rapid.IntRange(0, 15).Draw(t, "step") {
+	switch rapid.IntRange(0, 18).Draw(t, "step") {
 	case 0, 1, 2, 3, 4:
 		f.write(t)
 	case 5, 6:
@@ -277,6 +304,10 @@
 		for _, v := range f.views {
 			v.ExpireLapsed(f.now)
 		}
+	case 16:
+		f.readOperator(f.views[view()], rapid.Bool().Draw(t, "listed"))
+	case 17, 18:
+		f.queryOperator(view(), view())
 	}
 }
 
@@ -301,6 +332,10 @@
 
 // applyReply applies a neighbour's reply.
 func (v *View) applyReply(c modelReply, now time.Time) {
+	if c.operator != nil {
+		v.ApplyOperator(*c.operator, now)
+		return
+	}
 	if c.delta != nil {
 		v.Merge(c.delta, now)
 		return
--- a/pafleet/view.go
+++ b/pafleet/view.go
@@ -44,8 +44,10 @@
 	// target is gone.
 	OutageUntil time.Time
 
-	zoneRevisions map[string]Revision
-	history       history
+	// operatorRevision is the revision up to which all that operators wrote is known, if that is after Revision.
+	operatorRevision Revision
+	zoneRevisions    map[string]Revision
+	history          history
 }
 
 func (v *View) init() {
@@ -71,8 +73,11 @@
 	return v.apply(c, now)
 }
 
-// apply applies a change of any revision.
+// apply applies a change of any revision, unless it is an operator's and may have been reverted since.
 func (v *View) apply(c Change, now time.Time) bool {
+	if r := c.revision(); isByOperator(c) && r > 0 && r <= v.operatorRevision {
+		return false
+	}
 	switch c := c.(type) {
 	case ConfigUpdated:
 		return v.applyConfig(c)
--- a/pagate/config.go
+++ b/pagate/config.go
@@ -95,14 +95,25 @@
 	IsReadyCheck(r *http.Request) bool
 }
 
+// Scope is a part of the platform's store.
+type Scope int
+
+// The parts of the store that are read apart.
+const (
+	// AllKeys is the whole store.
+	AllKeys Scope = iota
+	// OperatorKeys is what operators write: the configuration and the evacuated zones.
+	OperatorKeys
+)
+
 // Registry reads and writes the platform's store; its errors are those of paplatform.
 //
-// List returns the whole content and its revision, Watch the changes after a revision, waiting for the first of them.
+// List returns the content of a scope and its revision, Watch the changes after a revision, waiting for the first of them.
 // Register writes the entry VM's registration under a lease. ClaimLimiter makes the named entry VM the limiter if the
 // limiter key is at the expected revision, 0 if it must not exist, and returns the new revision.
 type Registry interface {
-	List(ctx context.Context) ([]pafleet.Change, pafleet.Revision, error)
-	Watch(ctx context.Context, after pafleet.Revision, wait time.Duration) ([]pafleet.Change, pafleet.Revision, error)
+	List(ctx context.Context, s Scope) ([]pafleet.Change, pafleet.Revision, error)
+	Watch(ctx context.Context, s Scope, after pafleet.Revision, wait time.Duration) ([]pafleet.Change, pafleet.Revision, error)
 	GrantLease(ctx context.Context, ttl time.Duration) (paplatform.LeaseID, error)
 	RenewLease(ctx context.Context, lease paplatform.LeaseID) error
 	RevokeLease(ctx context.Context, lease paplatform.LeaseID) error
--- a/pagate/delta.go
+++ b/pagate/delta.go
@@ -7,23 +7,21 @@
 	"io"
 
 	"github.com/gravitational/trace"
-
-	"papayahead/pafleet"
 )
 
-// maxDeltaBytes bounds a decompressed delta. Values in the store are at most 1 MB; a whole view holds one large value
+// maxDecodedBytes bounds a decompressed message. Values in the store are at most 1 MB; a whole view holds one large value
 // and a few hundred bytes for each target.
-const maxDeltaBytes = 16 << 20
+const maxDecodedBytes = 16 << 20
 
-// encodeDelta encodes a delta as gzipped JSON. A configuration with hundreds of routes shrinks to a tenth, which
-// matters as links of entry VMs may have only 10 Mbit/s.
-func encodeDelta(d *pafleet.Delta) ([]byte, error) {
+// encodeGzip encodes what neighbours tell each other of the store as gzipped JSON. A configuration with hundreds of routes
+// shrinks to a tenth, which matters as links of entry VMs may have only 10 Mbit/s.
+func encodeGzip(v any) ([]byte, error) {
 	var out bytes.Buffer
 	z, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
-	if err := json.NewEncoder(z).Encode(d); err != nil {
+	if err := json.NewEncoder(z).Encode(v); err != nil {
 		return nil, trace.Wrap(err)
 	}
 	if err := z.Close(); err != nil {
@@ -32,11 +30,11 @@
 	return out.Bytes(), nil
 }
 
-// decodeDelta decodes the output of encodeDelta.
-func decodeDelta(b []byte, into *pafleet.Delta) error {
+// decodeGzip decodes the output of encodeGzip.
+func decodeGzip(b []byte, into any) error {
 	z, err := gzip.NewReader(bytes.NewReader(b))
 	if err != nil {
 		return trace.Wrap(err)
 	}
-	return trace.Wrap(json.NewDecoder(io.LimitReader(z, maxDeltaBytes)).Decode(into))
+	return trace.Wrap(json.NewDecoder(io.LimitReader(z, maxDecodedBytes)).Decode(into))
 }
--- a/pagate/delta_test.go
+++ b/pagate/delta_test.go
@@ -24,7 +24,7 @@
 
 func TestDeltaRoundTrip(t *testing.T) {
 	d := &pafleet.Delta{Revision: 7, Config: largeConfig(), ConfigAt: 7, Left: []pafleet.EntryRemoved{{Name: "e", Revision: 6}}}
-	b, err := encodeDelta(d)
+	b, err := encodeGzip(d)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,7 +33,7 @@
 		t.Fatal(err)
 	}
 	var got pafleet.Delta
-	if err := decodeDelta(b, &got); err != nil {
+	if err := decodeGzip(b, &got); err != nil {
 		t.Fatal(err)
 	}
 	if got.Revision != 7 || len(got.Config.Routes) != 400 || len(got.Left) != 1 {
@@ -42,7 +42,7 @@
 	if len(b) > len(plain)/8 {
 		t.Errorf("%d bytes encoded, %d as plain JSON", len(b), len(plain))
 	}
-	if decodeDelta([]byte("no gzip"), &got) == nil || decodeDelta(nil, &got) == nil {
+	if decodeGzip([]byte("no gzip"), &got) == nil || decodeGzip(nil, &got) == nil {
 		t.Error("bytes that are no delta were decoded")
 	}
 }
--- a/pagate/follow.go
+++ b/pagate/follow.go
@@ -186,12 +186,12 @@
 		g.meter.countStoreCall("List")
 		g.listing.Store(true)
 		defer g.listing.Store(false)
-		changes, revision, err = g.config.Registry.List(ctx)
+		changes, revision, err = g.config.Registry.List(ctx, AllKeys)
 	} else {
 		ctx, cancel := g.withTimeout(ctx, storeTimeout)
 		defer cancel()
 		g.meter.countStoreCall("Watch")
-		changes, revision, err = g.config.Registry.Watch(ctx, since, wait)
+		changes, revision, err = g.config.Registry.Watch(ctx, AllKeys, since, wait)
 	}
 	if err != nil {
 		return false, trace.Wrap(err)
--- a/pagate/follow_test.go
+++ b/pagate/follow_test.go
@@ -36,11 +36,11 @@
 	watches int
 }
 
-func (r *idleRegistry) List(context.Context) ([]pafleet.Change, pafleet.Revision, error) {
+func (r *idleRegistry) List(context.Context, Scope) ([]pafleet.Change, pafleet.Revision, error) {
 	return nil, 1, nil
 }
 
-func (r *idleRegistry) Watch(ctx context.Context, _ pafleet.Revision, wait time.Duration) ([]pafleet.Change, pafleet.Revision, error) {
+func (r *idleRegistry) Watch(ctx context.Context, _ Scope, _ pafleet.Revision, wait time.Duration) ([]pafleet.Change, pafleet.Revision, error) {
 	r.mutex.Lock()
 	r.watches++
 	r.mutex.Unlock()
--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -153,6 +153,7 @@
 		Role: "gate", Version: g.config.Version, Zone: s.Zone, Callers: s.Front.String(), Peers: s.Peers.String(),
 	})
 	g.spawn(func() { g.followStore(ctx) })
+	g.spawn(func() { g.followOperator(ctx) })
 	g.spawn(func() { g.keepRegistered(ctx) })
 	g.spawn(func() { g.saveWarmNotes(ctx) })
 	g.spawn(func() { g.peers.run(ctx) })
--- a/pagate/loop.go
+++ b/pagate/loop.go
@@ -42,6 +42,22 @@
 	requested bool
 }
 
+// operatorUpdate is what operators wrote, read from the store or from a neighbour.
+type operatorUpdate struct {
+	// state is set if the whole of it was read; otherwise changes are those after since and up to revision.
+	state           *pafleet.OperatorState
+	changes         []pafleet.Change
+	since, revision pafleet.Revision
+	// source is a neighbour's name, or sourceStore.
+	source string
+}
+
+// operatorRequest asks for what operators wrote, for a neighbour that is complete up to a revision.
+type operatorRequest struct {
+	since pafleet.Revision
+	reply chan<- pafleet.OperatorState
+}
+
 // limiterClaimed says that this entry VM became the limiter.
 type limiterClaimed struct{ at pafleet.Revision }
 
@@ -59,11 +75,13 @@
 	noHistory bool
 }
 
-func (storeUpdate) isEvent()    {}
-func (storeFailure) isEvent()   {}
-func (peerUpdate) isEvent()     {}
-func (deltaRequest) isEvent()   {}
-func (limiterClaimed) isEvent() {}
+func (storeUpdate) isEvent()     {}
+func (storeFailure) isEvent()    {}
+func (peerUpdate) isEvent()      {}
+func (deltaRequest) isEvent()    {}
+func (limiterClaimed) isEvent()  {}
+func (operatorUpdate) isEvent()  {}
+func (operatorRequest) isEvent() {}
 
 // tickInterval is how often the loop checks what depends on time alone.
 const tickInterval = 250 * time.Millisecond
@@ -147,6 +165,14 @@
 			g.logApplied(e, v.Revision, now)
 		}
 		return changed
+	case operatorUpdate:
+		g.logged.source = e.source
+		if e.state != nil {
+			return v.ApplyOperator(*e.state, now)
+		}
+		return v.ApplyOperatorRange(e.changes, e.since, e.revision, now)
+	case operatorRequest:
+		e.reply <- v.Operator(e.since)
 	case limiterClaimed:
 		return v.Apply(pafleet.LimiterUpdated{Name: g.self.Name, Revision: e.at}, now)
 	case deltaRequest:
@@ -162,12 +188,13 @@
 // publish stores a new snapshot of the view for the requests.
 func (g *Gate) publish(v *pafleet.View, verifiedAt time.Duration, changed bool, now time.Time) {
 	old := g.state.Load()
-	if !changed && old.revision == v.Revision && old.verifiedAt == verifiedAt {
+	if !changed && old.revision == v.Revision && old.operatorRevision == v.OperatorRevision() && old.verifiedAt == verifiedAt {
 		return
 	}
 	next := &state{
 		table: old.table, revision: v.Revision, verifiedAt: verifiedAt, entries: old.entries, fleetPeak: old.fleetPeak,
 		registered: old.registered, limiter: v.Limiter, limiterAt: v.LimiterRevision, evacuated: old.evacuated,
+		operatorRevision: v.OperatorRevision(), operatorChange: v.OperatorChange(),
 	}
 	if changed {
 		g.logChanges(v, old, now)
@@ -192,6 +219,9 @@
 		g.quotas.start(next)
 		close(g.firstConfig)
 	}
+	if next.operatorChange > old.operatorChange {
+		g.peers.wakeUp()
+	}
 	if e, ok := v.Entries[g.self.Name]; changed && (!ok || e.Front != g.self.Front) {
 		g.requestRegistration()
 	}
--- a/pagate/meter.go
+++ b/pagate/meter.go
@@ -29,7 +29,9 @@
 	relayedFor      *metrics.Counter
 	targetEnds      *metrics.Counter
 	pushbacks       *metrics.Counter
-	served          atomic.Uint64
+	// operatorFetchErrors counts failed calls to neighbours for what operators wrote.
+	operatorFetchErrors *metrics.Counter
+	served              atomic.Uint64
 }
 
 func newMeter(g *Gate) *meter {
@@ -44,6 +46,7 @@
 	m.relayedFor = m.set.NewCounter("papayahead_gate_relayed_for_others_total")
 	m.targetEnds = m.set.NewCounter("papayahead_gate_target_ends_total")
 	m.pushbacks = m.set.NewCounter("papayahead_gate_pushbacks_total")
+	m.operatorFetchErrors = m.set.NewCounter("papayahead_gate_operator_fetch_errors_total")
 	m.set.NewGauge("papayahead_gate_suspected_requests", func() float64 {
 		suspects, _ := g.quarantine.Counts(g.config.Clock.Now())
 		return float64(suspects)
--- a/pagate/modelstore_test.go
+++ b/pagate/modelstore_test.go
@@ -204,14 +204,13 @@
 }
 
 // List implements Registry. Its pages are no snapshot.
-func (r *modelRegistry) List(ctx context.Context) (all []pafleet.Change, at pafleet.Revision, err error) {
-	return r.list(ctx, "")
-}
-
-func (r *modelRegistry) list(ctx context.Context, prefix string) (all []pafleet.Change, at pafleet.Revision, err error) {
-	after := ""
+func (r *modelRegistry) List(ctx context.Context, scope Scope) (all []pafleet.Change, at pafleet.Revision, err error) {
+	after, prefix, name := "", "", "List"
+	if scope == OperatorKeys {
+		prefix, name = "op/", "ListOperator"
+	}
 	for {
-		if err := r.callPage(ctx, "List"); err != nil {
+		if err := r.callPage(ctx, name); err != nil {
 			return nil, 0, err
 		}
 		page, revision, more := r.store.page(prefix, after)
@@ -252,10 +251,23 @@
 }
 
 // Watch implements Registry.
-func (r *modelRegistry) Watch(ctx context.Context, after pafleet.Revision, wait time.Duration) ([]pafleet.Change, pafleet.Revision, error) {
+func (r *modelRegistry) Watch(
+	ctx context.Context, scope Scope, after pafleet.Revision, wait time.Duration,
+) ([]pafleet.Change, pafleet.Revision, error) {
+	if scope == OperatorKeys {
+		return r.watch(ctx, "WatchOperator", after, wait, isOperators)
+	}
 	return r.watch(ctx, "Watch", after, wait, func(pafleet.Change) bool { return true })
 }
 
+func isOperators(c pafleet.Change) bool {
+	switch c.(type) {
+	case pafleet.ConfigUpdated, pafleet.ZoneEvacuated, pafleet.ZoneRestored:
+		return true
+	}
+	return false
+}
+
 func (r *modelRegistry) watch(
 	ctx context.Context, name string, after pafleet.Revision, wait time.Duration, match func(pafleet.Change) bool,
 ) ([]pafleet.Change, pafleet.Revision, error) {
--- a/pagate/peers.go
+++ b/pagate/peers.go
@@ -45,6 +45,8 @@
 	woken          chan struct{}
 	// fullSyncRunning says that a neighbour is being asked for its whole state, for want of history.
 	fullSyncRunning atomic.Bool
+	// operatorFetching says that a neighbour is being asked for what operators wrote.
+	operatorFetching atomic.Bool
 }
 
 // peer is a neighbour's registration and health, as seen in the calls to and from it.
@@ -63,7 +65,7 @@
 
 // peerConn is the connection to a neighbour; one call runs on it at a time.
 type peerConn struct {
-	busy sync.Mutex
+	busy connLock
 	conn *drpcconn.Conn
 	// entry is the registration that the neighbour sent on this connection; lastNote is the last of its warm notes
 	// received.
@@ -74,6 +76,30 @@
 	ends, limits, pushbacks notePosition
 }
 
+// connLock lets one call at a time have a connection. Waiting for it ends with a context.
+type connLock chan struct{}
+
+func (l connLock) tryLock() bool {
+	select {
+	case l <- struct{}{}:
+		return true
+	default:
+		return false
+	}
+}
+
+// lock reports whether the lock was taken before ctx was done.
+func (l connLock) lock(ctx context.Context) bool {
+	select {
+	case l <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (l connLock) unlock() { <-l }
+
 // notePosition is how far an entry VM and a neighbour have told each other their notes of one kind, by the numbers of each.
 type notePosition struct{ received, sent uint64 }
 
@@ -229,7 +255,7 @@
 	defer p.mutex.Unlock()
 	c := p.conns[a]
 	if c == nil {
-		c = &peerConn{}
+		c = &peerConn{busy: make(connLock, 1)}
 		p.conns[a] = c
 	}
 	return c
--- a/pagate/state.go
+++ b/pagate/state.go
@@ -24,6 +24,9 @@
 	limiterAt pafleet.Revision
 	// evacuated are the evacuated availability zones, ordered by name.
 	evacuated []string
+	// operatorRevision is the revision up to which all that operators wrote is known, operatorChange that of their latest
+	// change.
+	operatorRevision, operatorChange pafleet.Revision
 }
 
 // longBeforeStart is an uptime before the machine's start.
--- a/pagate/sync.go
+++ b/pagate/sync.go
@@ -17,7 +17,9 @@
 // syncWith exchanges state with one entry VM.
 func (p *peers) syncWith(ctx context.Context, e pafleet.Entry) {
 	s := p.gate.state.Load()
-	if r := p.syncSince(ctx, e, s.revision, p.wantsChanges(e)); r.GetNoHistory() {
+	r := p.syncSince(ctx, e, s.revision, p.wantsChanges(e))
+	p.fetchOperator(ctx, e, pafleet.Revision(r.GetOperatorChange()))
+	if r.GetNoHistory() {
 		p.syncElsewhere(ctx, e, s)
 	}
 }
@@ -50,10 +52,10 @@
 // whole state. It returns the reply, or nil.
 func (p *peers) syncSince(ctx context.Context, e pafleet.Entry, since pafleet.Revision, wantChanges bool) *pawire.SyncReply {
 	c := p.conn(e.Peers)
-	if !c.busy.TryLock() {
+	if !c.busy.tryLock() {
 		return nil
 	}
-	defer c.busy.Unlock()
+	defer c.busy.unlock()
 	ctx, cancel := p.gate.withTimeout(ctx, syncTimeout)
 	defer cancel()
 	sentAt := p.gate.uptime()
@@ -84,18 +86,14 @@
 }
 
 func (p *peers) roundTrip(ctx context.Context, c *peerConn, e pafleet.Entry, since pafleet.Revision, wantChanges bool) (*pawire.SyncReply, error) {
-	if c.conn == nil {
-		raw, err := p.gate.dialCounted(ctx, e.Peers, &p.gate.traffic.neighbours)
-		if err != nil {
-			return nil, trace.Wrap(err)
-		}
-		c.conn, c.entry, c.lastNote = drpcconn.New(raw), pafleet.Entry{}, 0
-		c.ends, c.limits, c.pushbacks = notePosition{}, notePosition{}, notePosition{}
+	if err := p.connect(ctx, c, e); err != nil {
+		return nil, trace.Wrap(err)
 	}
 	q := &pawire.SyncRequest{
 		Name: p.gate.self.Name, Revision: uint64(since), Leaving: p.gate.shuttingDown.Load(),
 		WarmAfter: c.lastNote, WarmWanted: p.gate.wantsNotes(e), Lost: p.gate.lostPathsOut(), EndsAfter: c.ends.received,
 		LimitsAfter: c.limits.received, PushbacksAfter: c.pushbacks.received,
+		OperatorChange: uint64(p.gate.state.Load().operatorChange),
 	}
 	var sentEnd, sentLimit, sentPushback uint64
 	q.Ends, sentEnd = p.endsAfter(c.ends.sent)
@@ -114,6 +112,20 @@
 	return r, trace.Wrap(err)
 }
 
+// connect opens the connection to an entry VM unless it is open.
+func (p *peers) connect(ctx context.Context, c *peerConn, e pafleet.Entry) error {
+	if c.conn != nil {
+		return nil
+	}
+	raw, err := p.gate.dialCounted(ctx, e.Peers, &p.gate.traffic.neighbours)
+	if err != nil {
+		return trace.Wrap(err)
+	}
+	c.conn, c.entry, c.lastNote = drpcconn.New(raw), pafleet.Entry{}, 0
+	c.ends, c.limits, c.pushbacks = notePosition{}, notePosition{}, notePosition{}
+	return nil
+}
+
 func (p *peers) ownEntryJSON() []byte {
 	b, err := json.Marshal(p.gate.self)
 	if err != nil {
@@ -152,7 +164,7 @@
 	if len(r.GetDelta()) > 0 {
 		p.gate.traffic.changes.Add(uint64(len(r.GetDelta())))
 		update.delta = &pafleet.Delta{}
-		if err := decodeDelta(r.GetDelta(), update.delta); err != nil {
+		if err := decodeGzip(r.GetDelta(), update.delta); err != nil {
 			p.gate.record(paevent.NeighbourUnreadable{Reason: err.Error()})
 			return
 		}
@@ -165,7 +177,8 @@
 	s := p.gate.state.Load()
 	r := &pawire.SyncReply{
 		Revision: uint64(s.revision), Leaving: p.gate.shuttingDown.Load(),
-		AgeMicroseconds: p.gate.age(s).Microseconds(), Lost: p.gate.lostPathsOut(), Listing: p.gate.listing.Load(),
+		AgeMicroseconds: p.gate.age(s).Microseconds(), Lost: p.gate.lostPathsOut(),
+		OperatorChange: uint64(s.operatorChange), Listing: p.gate.listing.Load(),
 	}
 	if len(q.GetEntry()) > 0 {
 		var e pafleet.Entry
@@ -177,6 +190,7 @@
 	} else {
 		p.refreshContact(q.GetName(), q.GetLeaving(), lostPathsIn(q.GetLost()))
 	}
+	p.fetchFromCaller(q)
 	p.receiveEnds(q.GetEnds())
 	r.Ends, r.EndsLast = p.endsAfter(q.GetEndsAfter())
 	p.receiveLimits(q.GetLimits())
@@ -200,7 +214,7 @@
 		r.NoHistory, r.Revision = true, 0
 	case t.delta != nil:
 		r.Revision = uint64(t.delta.Revision)
-		r.Delta, err = encodeDelta(t.delta)
+		r.Delta, err = encodeGzip(t.delta)
 	}
 	p.gate.meter.deltasSent(kind).Inc()
 	return r, trace.Wrap(err)
--- a/pagate/watch_test.go
+++ b/pagate/watch_test.go
@@ -21,11 +21,11 @@
 	failedAt chan time.Time
 }
 
-func (r *failingRegistry) List(context.Context) ([]pafleet.Change, pafleet.Revision, error) {
+func (r *failingRegistry) List(context.Context, Scope) ([]pafleet.Change, pafleet.Revision, error) {
 	return nil, 1, nil
 }
 
-func (r *failingRegistry) Watch(ctx context.Context, _ pafleet.Revision, wait time.Duration) ([]pafleet.Change, pafleet.Revision, error) {
+func (r *failingRegistry) Watch(ctx context.Context, _ Scope, _ pafleet.Revision, wait time.Duration) ([]pafleet.Change, pafleet.Revision, error) {
 	left := r.watches.Add(-1)
 	if left > 0 {
 		time.Sleep(wait)
--- a/papayahead/check.go
+++ b/papayahead/check.go
@@ -9,6 +9,7 @@
 	"github.com/urfave/cli/v3"
 
 	"papayahead/pafleet"
+	"papayahead/pagate"
 	"papayahead/paplatform"
 	"papayahead/paroute"
 	"papayahead/platform"
@@ -49,7 +50,7 @@
 		Store:        &platform.StoreClient{BaseURL: "http://" + s.Store, Caller: paplatform.Caller("check"), Clock: clock},
 		OnUnreadable: func(key string, err error) { report("%s: %v", key, err) },
 	}
-	all, revision, err := r.List(ctx)
+	all, revision, err := r.List(ctx, pagate.AllKeys)
 	if err != nil {
 		return trace.Wrap(err)
 	}
