pasteer: a request chosen before an evacuation, or before its target drains by the store, is not sent after it

Whether a target is excluded was asked when it is chosen. Until the first byte a connection has to be opened, up to 0.6 s; what the target itself says was asked again then, what operators and the store say was not. Now both are. The request goes to another target, uncounted as an attempt, as with a target that asks for no requests. TestRequestChosenBeforeAnEvacuationIsNotSent failed before in both of its cases.

--- a/pasteer/balancer_test.go
+++ b/pasteer/balancer_test.go
@@ -146,6 +146,28 @@
 	}
 }
 
+// A request was sent to a target whose zone was evacuated, or that was known to drain, while a connection to it was opened.
+func TestRequestChosenBeforeAnEvacuationIsNotSent(t *testing.T) {
+	for name, change := range map[string]pafleet.Change{
+		"evacuated": pafleet.ZoneEvacuated{Zone: "a1", Revision: 900},
+		"drains": pafleet.TargetUpdated{Target: pafleet.Target{
+			ID: "a1-0", Service: "s", Zone: "a1", Born: 1, Sequence: 900, Revision: 900, Draining: true,
+		}},
+	} {
+		v := fleet(1)
+		b := newBalancer("a1", v)
+		c := Choice{Target: "a1-0", Born: v.Targets["a1-0"].Born}
+		if !b.MaySend(c, begin) {
+			t.Errorf("%s: not sent before", name)
+		}
+		v.Apply(change, begin)
+		b.Update(v, begin)
+		if b.MaySend(c, begin) {
+			t.Errorf("%s: sent after", name)
+		}
+	}
+}
+
 func TestAllowedRegions(t *testing.T) {
 	b := newBalancer("a1", fleet(1))
 	r := *route
--- a/pasteer/pushback.go
+++ b/pasteer/pushback.go
@@ -80,11 +80,14 @@
 }
 
 // MaySend reports whether the request may still be sent to the target that was chosen for it: opening a connection takes time, and
-// another response may have asked for no requests meanwhile, or said that the target is shutting down.
+// meanwhile its zone may have been evacuated, or it may have asked for no requests or said that it is shutting down.
 func (b *Balancer) MaySend(c Choice, now time.Time) bool {
 	if b.saysDraining(c.Target, c.Born) {
 		return false
 	}
+	if t := b.targets[c.Target]; t != nil && t.state.Born == c.Born && t.excluded {
+		return false
+	}
 	p := b.pushbacks[lifetime{c.Target, c.Born}]
 	return p == nil || !now.Before(p.resumeAt)
 }
