pagate: a relay that has not heard of an evacuation gives the request back

A relay with an older configuration says that another one may take the request; one that did not know of an evacuation chose a target in that zone, for an entry VM that knew of it. A relayed request now names the latest change by an operator that its first entry VM has known for a second, which is when other entry VMs have it too; a relay that lacks it sends the request back, as with a version. Within that second nothing is refused for it.

--- a/pagate/loop.go
+++ b/pagate/loop.go
@@ -206,7 +206,10 @@
 	next := &state{
 		table: old.table, revision: v.Revision, verifiedAt: verifiedAt, entries: old.entries, fleetPeak: old.fleetPeak,
 		registered: old.registered, limiter: v.Limiter, limiterAt: v.LimiterRevision, evacuated: old.evacuated,
-		operatorRevision: v.OperatorRevision(), operatorChange: v.OperatorChange(),
+		operatorRevision: v.OperatorRevision(), operatorChange: v.OperatorChange(), operatorChangedAt: old.operatorChangedAt,
+	}
+	if next.operatorChange > old.operatorChange {
+		next.operatorChangedAt = g.uptime()
 	}
 	if changed {
 		g.logChanges(v, old, now)
--- a/pagate/operator.go
+++ b/pagate/operator.go
@@ -117,6 +117,18 @@
 	p.gate.post(ctx, operatorUpdate{state: state, source: e.Name})
 }
 
+// operatorSettleTime is how long after a change by an operator other entry VMs are given to learn of it.
+const operatorSettleTime = time.Second
+
+// settledOperatorChange returns the revision of the operators' latest change, or 0 while others may not know it yet.
+func (g *Gate) settledOperatorChange() pafleet.Revision {
+	s := g.state.Load()
+	if g.uptime()-s.operatorChangedAt < operatorSettleTime {
+		return 0
+	}
+	return s.operatorChange
+}
+
 // fetchFromCaller asks an entry VM that called for what operators wrote, if it knows of a later change.
 func (p *peers) fetchFromCaller(q *pawire.SyncRequest) {
 	change := pafleet.Revision(q.GetOperatorChange())
--- a/pagate/relay.go
+++ b/pagate/relay.go
@@ -135,7 +135,7 @@
 func (g *Gate) sendToRelay(ctx context.Context, x *exchange, p pasteer.Peer) attemptResult {
 	call, err := json.Marshal(relayCall{
 		From: g.self.Name, Version: x.version, Service: x.service, Workspace: x.workspaceName(), Tried: x.tried,
-		Unwilling: g.unwilling(x.service),
+		Unwilling: g.unwilling(x.service), OperatorChange: uint64(g.settledOperatorChange()),
 	})
 	if err != nil {
 		panic("pagate: encode a relay call as JSON: " + err.Error())
--- a/pagate/relaycall.go
+++ b/pagate/relaycall.go
@@ -22,6 +22,8 @@
 	// Version is the configuration version that the request was routed by, Service the service chosen by it.
 	Version int64
 	Service string
+	// OperatorChange is the revision of the latest change by an operator that a relay must know, 0 if there is none.
+	OperatorChange uint64 `json:",omitempty"`
 	// Workspace is the owner of the request's API key, if any.
 	Workspace string `json:",omitempty"`
 	// Tried are the targets to which the request was sent already.
--- a/pagate/relayed.go
+++ b/pagate/relayed.go
@@ -68,13 +68,13 @@
 const retryAfterRelay = 200 * time.Millisecond
 
 // routeRelayed routes a relayed request by the configuration here, which must be at least as new as the one by which the
-// first entry VM routed it. It returns why the request cannot be served.
+// first entry VM routed it, and as what that one knows of evacuations. It returns why the request cannot be served.
 func (g *Gate) routeRelayed(x *exchange, r *http.Request) (reason string) {
 	s := g.state.Load()
 	switch {
 	case g.shuttingDown.Load():
 		return reasonShuttingDown
-	case s.table == nil || s.table.Config.Version < x.relayed.Version:
+	case s.table == nil || s.table.Config.Version < x.relayed.Version, uint64(s.operatorRevision) < x.relayed.OperatorChange:
 		return reasonBehindConfig
 	}
 	x.version = s.table.Config.Version
--- a/pagate/state.go
+++ b/pagate/state.go
@@ -27,6 +27,8 @@
 	// operatorRevision is the revision up to which all that operators wrote is known, operatorChange that of their latest
 	// change.
 	operatorRevision, operatorChange pafleet.Revision
+	// operatorChangedAt is the uptime at which that change became known.
+	operatorChangedAt time.Duration
 }
 
 // longBeforeStart is an uptime before the machine's start.
