--- a/pagate/modelstore_test.go
+++ b/pagate/modelstore_test.go
@@ -85,6 +85,11 @@
 func (s *modelStore) loseHistory(deaf time.Duration) {
 	s.setDeaf(true)
 	time.Sleep(deaf)
+	s.dropHistory()
+}
+
+// dropHistory drops the history and cuts the watches, which hear of changes again.
+func (s *modelStore) dropHistory() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.deaf = false
