pafleet, pagate: a neighbour that has the configuration does not get it again with the other changes; only who meets a lost history watches the operators' keys besides the watchers

What operators wrote comes apart, so the reply on all other changes, from a revision before, carried the configuration a second time: of hundreds of routes over links of 10 Mbit/s. A request now says up to which revision its sender knows what operators wrote. TestDeltaLeavesOutAConfigurationThatTheNeighbourHas failed before (it did not build: the reply did not know).

--- a/pafleet/delta.go
+++ b/pafleet/delta.go
@@ -45,14 +45,18 @@
 // view.
 func (v *View) CoversSince(since Revision) bool { return since == 0 || v.history.completeSince(since) }
 
-// Delta returns what changed after a revision, or nil if nothing did. It returns the whole view for revision 0 and where
-// CoversSince is false.
-func (v *View) Delta(since Revision, now time.Time) *Delta {
+// Position is what a neighbour knows: everything up to Revision, and what operators wrote up to Operator, if that is later.
+type Position struct{ Revision, Operator Revision }
+
+// Delta returns what changed after a position, or nil if nothing did. It returns the whole view, but for a configuration that the
+// neighbour has, for revision 0 and where CoversSince is false.
+func (v *View) Delta(p Position, now time.Time) *Delta {
+	since := p.Revision
 	d := &Delta{Revision: v.Revision, Since: since, Whole: since == 0 || !v.CoversSince(since)}
 	if d.Whole {
 		since, d.Since = 0, 0
 	}
-	if v.Config != nil && v.ConfigRevision > since {
+	if v.Config != nil && v.ConfigRevision > max(since, p.Operator) {
 		d.Config, d.ConfigAt = v.Config, v.ConfigRevision
 	}
 	for _, m := range v.Targets {
--- a/pafleet/history_test.go
+++ b/pafleet/history_test.go
@@ -97,7 +97,7 @@
 	reader.ApplyListing(nil, 4, start)
 	client.ApplyListing(nil, 4, start)
 	reader.ApplyListing(nil, 20, start)
-	late := reader.reply(client.Revision, start)
+	late := reader.reply(Position{Revision: client.Revision}, start)
 	client.ApplyRange([]Change{targetUpdate("t", 1, 1, 9)}, 4, 10, start)
 	client.applyReply(late, start)
 	if client.Revision >= 20 && client.Targets["t"] != nil {
--- a/pafleet/model_test.go
+++ b/pafleet/model_test.go
@@ -246,7 +246,7 @@
 	if v.Revision <= since || refuses && !v.CoversSince(since) {
 		return
 	}
-	c := v.reply(since, f.now)
+	c := v.reply(Position{Revision: since, Operator: f.views[to].OperatorRevision()}, f.now)
 	c.to, c.lifetime = to, f.lifetimes[to]
 	f.replies = append(f.replies, c)
 }
@@ -325,9 +325,9 @@
 	})
 }
 
-// reply returns the view's reply to a neighbour that is complete up to a revision.
-func (v *View) reply(since Revision, now time.Time) modelReply {
-	return modelReply{since: since, revision: v.Revision, delta: v.Delta(since, now)}
+// reply returns the view's reply to a neighbour at a position.
+func (v *View) reply(p Position, now time.Time) modelReply {
+	return modelReply{since: p.Revision, revision: v.Revision, delta: v.Delta(p, now)}
 }
 
 // applyReply applies a neighbour's reply.
@@ -344,4 +344,6 @@
 }
 
 // syncFrom makes one view query another and apply the reply.
-func syncFrom(from, to *View) { to.applyReply(from.reply(to.Revision, start), start) }
+func syncFrom(from, to *View) {
+	to.applyReply(from.reply(Position{Revision: to.Revision}, start), start)
+}
--- a/pafleet/view_test.go
+++ b/pafleet/view_test.go
@@ -28,13 +28,13 @@
 	reader.Apply(TargetRemoved{ID: "t1", Revision: 7}, start.Add(time.Second))
 	reader.Apply(targetUpdate("t2", 1, 9, 12), start.Add(time.Second))
 	reader.Revision = 12
-	if d := reader.Delta(neighbour.Revision, start); d != nil {
+	if d := reader.Delta(Position{Revision: neighbour.Revision}, start); d != nil {
 		neighbour.Merge(d, start)
 	}
 	neighbour.Revision = 12
 	reader.ExpireLapsed(start.Add(LapseGrace + time.Millisecond))
 	reader.Revision = 13
-	if d := reader.Delta(neighbour.Revision, start.Add(3*time.Second)); d != nil {
+	if d := reader.Delta(Position{Revision: neighbour.Revision}, start.Add(3*time.Second)); d != nil {
 		neighbour.Merge(d, start.Add(3*time.Second))
 	}
 	if neighbour.Targets["t1"] != nil {
@@ -133,7 +133,7 @@
 	if v.Limiter != "b" {
 		t.Errorf("limiter %q, want \"b\"", v.Limiter)
 	}
-	neighbour.Merge(v.Delta(0, start), start)
+	neighbour.Merge(v.Delta(Position{}, start), start)
 	if neighbour.Limiter != "b" {
 		t.Errorf("the neighbour has limiter %q, want \"b\"", neighbour.Limiter)
 	}
@@ -161,3 +161,23 @@
 		}
 	}
 }
+
+// A configuration of hundreds of routes was sent twice to an entry VM that had heard of it apart: its link is narrow.
+func TestDeltaLeavesOutAConfigurationThatTheNeighbourHas(t *testing.T) {
+	var v View
+	v.ApplyListing([]Change{ConfigUpdated{Revision: 3, Config: &paroute.Config{Version: 1}}}, 5, start)
+	v.ApplyRange([]Change{
+		ConfigUpdated{Revision: 8, Config: &paroute.Config{Version: 2}}, ZoneEvacuated{Zone: "z", Revision: 9},
+	}, 5, 9, start)
+	for p, want := range map[Position]bool{
+		{Revision: 5}: true, {Revision: 5, Operator: 7}: true, {Revision: 5, Operator: 8}: false, {}: true, {Operator: 9}: false,
+	} {
+		d := v.Delta(p, start)
+		if got := d.Config != nil; got != want {
+			t.Errorf("%+v: got a configuration %v, want %v", p, got, want)
+		}
+		if len(d.Operator.Evacuated) != 1 {
+			t.Errorf("%+v: the evacuated zone is missing", p)
+		}
+	}
+}
--- a/pagate/follow.go
+++ b/pagate/follow.go
@@ -54,6 +54,7 @@
 			g.sleep(ctx, minReadInterval/4)
 			// What neighbours told meanwhile may be after what the store lost.
 			whole = whole && g.state.Load().revision <= lostAfter
+			g.historyLost.Store(whole)
 			continue
 		}
 		begun := g.config.Clock.Now()
@@ -62,12 +63,14 @@
 		switch {
 		case err == nil:
 			whole, failures = false, 0
+			g.historyLost.Store(false)
 			if !lostAt.IsZero() {
 				g.record(paevent.StoreReachable{OutageMilliseconds: now.Sub(lostAt).Milliseconds()})
 				lostAt = time.Time{}
 			}
 		case paplatform.FaultOf(err) == paplatform.HistoryLost:
 			whole, lostAfter = true, g.state.Load().revision
+			g.historyLost.Store(true)
 			continue
 		default:
 			failures++
--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -28,8 +28,8 @@
 	// events is the input of the control loop.
 	events chan event
 	peers  *peers
-	// listing is set while the whole store is being read.
-	listing atomic.Bool
+	// historyLost is set while the store cannot tell what changed since the own state, listing while the whole store is being read.
+	historyLost, listing atomic.Bool
 	// quotas holds this entry VM's shares of the rate limits, limiter the shared pools while this entry VM is the
 	// limiter.
 	quotas  *rateShares
--- a/pagate/loop.go
+++ b/pagate/loop.go
@@ -61,9 +61,9 @@
 // limiterClaimed says that this entry VM became the limiter.
 type limiterClaimed struct{ at pafleet.Revision }
 
-// deltaRequest asks for the changes after a revision.
+// deltaRequest asks for the changes after a neighbour's position.
 type deltaRequest struct {
-	since pafleet.Revision
+	since pafleet.Position
 	reply chan<- deltaReply
 }
 
@@ -184,7 +184,7 @@
 	case limiterClaimed:
 		return v.Apply(pafleet.LimiterUpdated{Name: g.self.Name, Revision: e.at}, now)
 	case deltaRequest:
-		if !v.CoversSince(e.since) {
+		if !v.CoversSince(e.since.Revision) {
 			e.reply <- deltaReply{noHistory: true}
 			break
 		}
--- a/pagate/operator.go
+++ b/pagate/operator.go
@@ -61,13 +61,12 @@
 }
 
 // watchesOperator reports whether this entry VM should watch the operators' keys: because it is one of its region's watchers,
-// or because its state is so old that nobody else may have told it.
+// or because it found its state too old, asked the store for changes, and the store had lost them.
 func (g *Gate) watchesOperator() bool {
-	s := g.state.Load()
-	if g.age(s) > maxAge {
+	if g.historyLost.Load() {
 		return true
 	}
-	region := slices.DeleteFunc(g.liveByHash(s), func(e pafleet.Entry) bool { return e.Region != g.self.Region })
+	region := slices.DeleteFunc(g.liveByHash(g.state.Load()), func(e pafleet.Entry) bool { return e.Region != g.self.Region })
 	watchers := max(minOperatorWatchers, len(region)/entriesPerOperatorWatcher)
 	rank := slices.IndexFunc(region, func(e pafleet.Entry) bool { return e.Name == g.self.Name })
 	return rank < watchers
--- a/pagate/sync.go
+++ b/pagate/sync.go
@@ -89,11 +89,12 @@
 	if err := p.connect(ctx, c, e); err != nil {
 		return nil, trace.Wrap(err)
 	}
+	s := p.gate.state.Load()
 	q := &pawire.SyncRequest{
 		Name: p.gate.self.Name, Revision: uint64(since), Leaving: p.gate.shuttingDown.Load(),
 		WarmAfter: c.lastNote, WarmWanted: p.gate.wantsNotes(e), Lost: p.gate.lostPathsOut(), EndsAfter: c.ends.received,
 		LimitsAfter: c.limits.received, PushbacksAfter: c.pushbacks.received,
-		OperatorChange: uint64(p.gate.state.Load().operatorChange),
+		OperatorChange: uint64(s.operatorChange), OperatorRevision: uint64(s.operatorRevision),
 	}
 	var sentEnd, sentLimit, sentPushback uint64
 	q.Ends, sentEnd = p.endsAfter(c.ends.sent)
@@ -203,7 +204,9 @@
 	if uint64(s.revision) <= q.GetRevision() {
 		return r, nil
 	}
-	t, err := p.changesSince(ctx, pafleet.Revision(q.GetRevision()))
+	t, err := p.changesSince(ctx, pafleet.Position{
+		Revision: pafleet.Revision(q.GetRevision()), Operator: pafleet.Revision(q.GetOperatorRevision()),
+	})
 	if err != nil {
 		return nil, trace.Wrap(err)
 	}
@@ -220,8 +223,8 @@
 	return r, trace.Wrap(err)
 }
 
-// changesSince gets the changes after a revision from the control loop.
-func (p *peers) changesSince(ctx context.Context, since pafleet.Revision) (deltaReply, error) {
+// changesSince gets the changes after a neighbour's position from the control loop.
+func (p *peers) changesSince(ctx context.Context, since pafleet.Position) (deltaReply, error) {
 	replies := make(chan deltaReply, 1)
 	p.gate.post(ctx, deltaRequest{since: since, reply: replies})
 	select {
