--- a/pagate/follow.go
+++ b/pagate/follow.go
@@ -35,62 +35,78 @@
 	// hundredth of a core.
 	minStoreReaders  = 2
 	entriesPerReader = 50
-	// registrationTTL is how long a registration outlives its entry VM; look-ups must not name a dead entry VM
-	// for more than 7 s.
-	registrationTTL = 5 * time.Second
-	// registrationRenewInterval is the time between renewals of the lease, so that two in a row may fail.
-	registrationRenewInterval = 1700 * time.Millisecond
 )
 
 // followStore keeps the state up to date with the store: with a full read first, unless a neighbour sent its state,
 // and then by watches while this entry VM should read the store.
 func (g *Gate) followStore(ctx context.Context) {
-	var lostAt time.Time
-	whole := !g.syncedAtStart(ctx)
-	wait, failures := g.watchDuration(), 0
-	var lostAfter pafleet.Revision
+	f := storeFollower{gate: g, whole: !g.syncedAtStart(ctx), wait: g.watchDuration()}
 	for ctx.Err() == nil {
-		if !whole && !g.shouldReadStore() || whole && !g.mayList() {
-			g.sleep(ctx, minReadInterval/4)
-			// What neighbours told meanwhile may be after what the store lost.
-			whole = whole && g.state.Load().revision <= lostAfter
-			g.historyLost.Store(whole)
-			continue
-		}
-		begun := g.config.Clock.Now()
-		changed, err := g.readStore(ctx, whole, wait)
-		now := g.config.Clock.Now()
-		switch {
-		case err == nil:
-			whole, failures = false, 0
-			g.historyLost.Store(false)
-			if !lostAt.IsZero() {
-				g.record(paevent.StoreReachable{OutageMilliseconds: now.Sub(lostAt).Milliseconds()})
-				lostAt = time.Time{}
-			}
-		case paplatform.FaultOf(err) == paplatform.HistoryLost:
-			whole, lostAfter = true, g.state.Load().revision
-			g.historyLost.Store(true)
-			continue
-		default:
-			failures++
-			if paplatform.FaultOf(err) != paplatform.Limited {
-				g.post(ctx, storeFailure{at: now})
-			}
-			if lostAt.IsZero() && ctx.Err() == nil {
-				lostAt = now
-				g.record(paevent.StoreUnreachable{Reason: err.Error()})
-			}
-		}
-		wait = g.watchDuration()
-		if changed || err != nil {
-			delay := g.readDelay(failures)
-			if err != nil {
-				delay -= now.Sub(begun)
-			}
-			g.sleep(ctx, delay)
-			wait = min(wait, max(0, wait+g.watchOffset(wait)-minReadInterval))
+		f.step(ctx)
+	}
+}
+
+// storeFollower reads the store again and again.
+type storeFollower struct {
+	gate *Gate
+	// whole says that everything is to be read, as the store no longer tells what changed after the revision lostAfter.
+	whole     bool
+	lostAfter pafleet.Revision
+	// wait is how long the next watch waits.
+	wait time.Duration
+	// failures is how many reads in a row failed, and failingSince when the first of them did.
+	failures     int
+	failingSince time.Time
+}
+
+// step reads the store once, if this entry VM should, and waits until it may be read again.
+func (f *storeFollower) step(ctx context.Context) {
+	g := f.gate
+	since := g.state.Load().revision
+	// What neighbours told meanwhile may be after what the store lost.
+	f.whole = f.whole && since <= f.lostAfter
+	g.historyLost.Store(f.whole)
+	if f.whole && !g.mayList() || !f.whole && !g.shouldReadStore() {
+		g.sleep(ctx, minReadInterval/4)
+		return
+	}
+	begun := g.config.Clock.Now()
+	changed, err := g.readStore(ctx, f.whole, f.wait)
+	now := g.config.Clock.Now()
+	if paplatform.FaultOf(err) == paplatform.HistoryLost {
+		f.whole, f.lostAfter = true, since
+		return
+	}
+	f.noteRead(ctx, err, now)
+	f.wait = g.watchDuration()
+	if !changed && err == nil {
+		return
+	}
+	delay := g.readDelay(f.failures)
+	if err != nil {
+		delay -= now.Sub(begun)
+	}
+	g.sleep(ctx, delay)
+	f.wait = min(f.wait, max(0, f.wait+g.watchOffset(f.wait)-minReadInterval))
+}
+
+// noteRead records whether a read succeeded.
+func (f *storeFollower) noteRead(ctx context.Context, err error, now time.Time) {
+	g := f.gate
+	if err == nil {
+		if !f.failingSince.IsZero() {
+			g.record(paevent.StoreReachable{OutageMilliseconds: now.Sub(f.failingSince).Milliseconds()})
 		}
+		f.whole, f.failures, f.failingSince = false, 0, time.Time{}
+		return
+	}
+	f.failures++
+	if paplatform.FaultOf(err) != paplatform.Limited {
+		g.post(ctx, storeFailure{at: now})
+	}
+	if f.failingSince.IsZero() && ctx.Err() == nil {
+		f.failingSince = now
+		g.record(paevent.StoreUnreachable{Reason: err.Error()})
 	}
 }
 
@@ -206,59 +222,3 @@
 	g.post(ctx, storeUpdate{changes: changes, since: since, revision: revision, whole: whole, verifiedAt: verifiedAt})
 	return whole || len(changes) > 0, nil
 }
-
-// keepRegistered keeps this entry VM registered in the store until it shuts down, and then revokes the lease.
-func (g *Gate) keepRegistered(ctx context.Context) {
-	var lease paplatform.LeaseID
-	written := false
-	ttl := max(registrationTTL, g.config.Settings.MinLeaseTTL)
-	for ctx.Err() == nil && !g.shuttingDown.Load() {
-		var err error
-		switch {
-		case lease == "":
-			lease, err = g.grantLease(ctx, ttl)
-			written = false
-			if err == nil {
-				continue
-			}
-		case !written:
-			err = g.storeCall(ctx, "Announce", func(ctx context.Context) error { return g.config.Registry.Register(ctx, g.self, lease) })
-			written = err == nil
-		default:
-			err = g.storeCall(ctx, "Renew", func(ctx context.Context) error { return g.config.Registry.RenewLease(ctx, lease) })
-		}
-		if paplatform.FaultOf(err) == paplatform.LeaseLapsed {
-			lease = ""
-			continue
-		}
-		select {
-		case <-g.config.Clock.After(registrationRenewInterval):
-		case <-g.reregister:
-			if written && !g.sleep(ctx, minReadInterval) {
-				return
-			}
-			written = false
-		case <-ctx.Done():
-		}
-	}
-	if lease != "" && g.shuttingDown.Load() {
-		if err := g.storeCall(ctx, "End", func(ctx context.Context) error { return g.config.Registry.RevokeLease(ctx, lease) }); err != nil {
-			g.record(paevent.StoreUnreachable{Reason: err.Error()})
-		}
-	}
-}
-
-func (g *Gate) grantLease(ctx context.Context, ttl time.Duration) (lease paplatform.LeaseID, err error) {
-	err = g.storeCall(ctx, "Lease", func(ctx context.Context) error {
-		lease, err = g.config.Registry.GrantLease(ctx, ttl)
-		return err
-	})
-	return lease, err
-}
-
-func (g *Gate) storeCall(ctx context.Context, name string, call func(ctx context.Context) error) error {
-	g.meter.countStoreCall(name)
-	ctx, cancel := g.withTimeout(ctx, storeTimeout)
-	defer cancel()
-	return call(ctx)
-}
--- a/pagate/loop.go
+++ b/pagate/loop.go
@@ -242,11 +242,3 @@
 		g.requestRegistration()
 	}
 }
-
-// requestRegistration has keepRegistered write the registration again, or end it at a shutdown.
-func (g *Gate) requestRegistration() {
-	select {
-	case g.reregister <- struct{}{}:
-	default:
-	}
-}
