pagate, papayahead: a process that starts says of no listing; a third idle connection to the store

What a process lists at its start tells nobody what changed before, so nobody should wait for it. The watch of the operators' keys needs a connection beside that of all keys and that of other calls.

--- a/pagate/follow.go
+++ b/pagate/follow.go
@@ -203,7 +203,8 @@
 	if whole {
 		// Without a timeout: a reading that makes progress goes on, however slow the links are, as another would be no faster.
 		g.meter.countStoreCall("List")
-		g.listing.Store(true)
+		// What a process reads at its start tells nobody else what changed.
+		g.listing.Store(since > 0)
 		defer g.listing.Store(false)
 		changes, revision, err = g.config.Registry.List(ctx, AllKeys)
 	} else {
--- a/papayahead/gate.go
+++ b/papayahead/gate.go
@@ -34,9 +34,9 @@
 	logQueueLines = 2048
 	// eventRingSize is the number of recent events kept in memory; every event is also logged.
 	eventRingSize = 64
-	// maxIdleStoreConns is the number of idle connections to the store to keep: one for a long-polling watch
-	// and one for other calls.
-	maxIdleStoreConns = 2
+	// maxIdleStoreConns is the number of idle connections to the store to keep: one for the watch of all keys, one for that of the
+	// operators' keys, and one for other calls.
+	maxIdleStoreConns = 3
 	// metricsPort is the port of the gate's metrics; the deploy file contains the same number.
 	metricsPort = 9464
 )
