pagate: in the modelled network a small message does not wait behind a page of the store on the same link

At 300 entry VMs with busy links the model had calls among neighbours wait half a second behind each page of a listing, as if a link carried one connection after the other; links carry them packet by packet.

--- a/pagate/modelfleet_test.go
+++ b/pagate/modelfleet_test.go
@@ -71,8 +71,14 @@
 	return n
 }
 
+// modelSmall is the size of a message that does not wait for larger ones on the same link: connections share it packet by packet.
+const modelSmall = 16 << 10
+
 // send puts bytes on a link and returns when the last of them has left it. The mutex is held.
 func (n *modelNetwork) send(link string, bytes int, perSecond float64) time.Time {
+	if bytes <= modelSmall {
+		link += " small"
+	}
 	start := time.Now()
 	if n.free[link].After(start) {
 		start = n.free[link]
