--- a/pagate/follow.go
+++ b/pagate/follow.go
@@ -65,7 +65,7 @@
 	since := g.state.Load().revision
 	// What neighbours told meanwhile may be after what the store lost.
 	f.whole = f.whole && since <= f.lostAfter
-	g.historyLost.Store(f.whole)
+	g.historyLost.Store(f.whole && since > 0)
 	if f.whole && !g.mayList() || !f.whole && !g.shouldReadStore() {
 		g.sleep(ctx, minReadInterval/4)
 		return
