--- a/pagate/directory.go
+++ b/pagate/directory.go
@@ -143,6 +143,13 @@
 	return all
 }
 
+// rankInRegion returns the place of this entry VM, from 0, among the n entry VMs of its region that are believed to be alive, by
+// the hash of their names.
+func (g *Gate) rankInRegion(s *state) (rank, n int) {
+	region := slices.DeleteFunc(g.liveByHash(s), func(e pafleet.Entry) bool { return e.Region != g.self.Region })
+	return slices.IndexFunc(region, func(e pafleet.Entry) bool { return e.Name == g.self.Name }), len(region)
+}
+
 // storeReaders returns the entry VMs that read the store on behalf of all others.
 func (g *Gate) storeReaders(s *state) []pafleet.Entry {
 	all := g.liveByHash(s)
--- a/pagate/listing.go
+++ b/pagate/listing.go
@@ -1,11 +1,6 @@
 package pagate
 
-import (
-	"slices"
-	"time"
-
-	"papayahead/pafleet"
-)
+import "time"
 
 // A store that lost its history answers every watch with an error until the whole store was read. If all entry VMs of a large
 // deployment read it at once, over links that they share, none gets far, each is still too old, and all go on reading. So store
@@ -30,8 +25,7 @@
 	if age < maxListingWait && g.peers.someoneLists(g.config.Clock.Now()) {
 		return false
 	}
-	region := slices.DeleteFunc(g.liveByHash(s), func(e pafleet.Entry) bool { return e.Region != g.self.Region })
-	rank := slices.IndexFunc(region, func(e pafleet.Entry) bool { return e.Name == g.self.Name })
+	rank, _ := g.rankInRegion(s)
 	return age > maxAge+listInterval*time.Duration(rank)
 }
 
--- a/pagate/operator.go
+++ b/pagate/operator.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/gravitational/trace"
@@ -66,10 +65,8 @@
 	if g.historyLost.Load() {
 		return true
 	}
-	region := slices.DeleteFunc(g.liveByHash(g.state.Load()), func(e pafleet.Entry) bool { return e.Region != g.self.Region })
-	watchers := max(minOperatorWatchers, len(region)/entriesPerOperatorWatcher)
-	rank := slices.IndexFunc(region, func(e pafleet.Entry) bool { return e.Name == g.self.Name })
-	return rank < watchers
+	rank, n := g.rankInRegion(g.state.Load())
+	return rank < max(minOperatorWatchers, n/entriesPerOperatorWatcher)
 }
 
 // readOperator reads the operators' keys once, by listing or by a watch.
--- a/pagate/peers.go
+++ b/pagate/peers.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"storj.io/drpc/drpcconn"
-
 	"papayahead/paevent"
 	"papayahead/pafleet"
 )
@@ -63,54 +61,6 @@
 	listingAt time.Time
 }
 
-// peerConn is the connection to a neighbour; one call runs on it at a time.
-type peerConn struct {
-	busy connLock
-	conn *drpcconn.Conn
-	// entry is the registration that the neighbour sent on this connection; lastNote is the last of its warm notes
-	// received.
-	entry    pafleet.Entry
-	lastNote uint64
-	// ends, limits and pushbacks are how far both have told each other their findings on ended targets, and their notes on limits and
-	// on pushbacks.
-	ends, limits, pushbacks notePosition
-}
-
-// connLock lets one call at a time have a connection. Waiting for it ends with a context.
-type connLock chan struct{}
-
-func (l connLock) tryLock() bool {
-	select {
-	case l <- struct{}{}:
-		return true
-	default:
-		return false
-	}
-}
-
-// lock reports whether the lock was taken before ctx was done.
-func (l connLock) lock(ctx context.Context) bool {
-	select {
-	case l <- struct{}{}:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
-func (l connLock) unlock() { <-l }
-
-// notePosition is how far an entry VM and a neighbour have told each other their notes of one kind, by the numbers of each.
-type notePosition struct{ received, sent uint64 }
-
-// disconnect closes the connection after a failed call; the next call opens another.
-func (c *peerConn) disconnect(g *Gate) {
-	if err := c.conn.Close(); err != nil {
-		g.meter.peerCloseErrors.Inc()
-	}
-	c.conn = nil
-}
-
 func newPeers(g *Gate) *peers {
 	return &peers{
 		gate: g, known: map[string]*peer{}, conns: map[netip.AddrPort]*peerConn{},
@@ -250,17 +200,6 @@
 	}
 }
 
-func (p *peers) conn(a netip.AddrPort) *peerConn {
-	p.mutex.Lock()
-	defer p.mutex.Unlock()
-	c := p.conns[a]
-	if c == nil {
-		c = &peerConn{busy: make(connLock, 1)}
-		p.conns[a] = c
-	}
-	return c
-}
-
 // refreshContact records that a neighbour is alive that sent its registration before.
 func (p *peers) refreshContact(name string, leaving bool, lost lostServices) {
 	p.mutex.Lock()
--- a/pagate/sync.go
+++ b/pagate/sync.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/gravitational/trace"
-	"storj.io/drpc/drpcconn"
 
 	"papayahead/paevent"
 	"papayahead/pafleet"
@@ -113,20 +112,6 @@
 	return r, trace.Wrap(err)
 }
 
-// connect opens the connection to an entry VM unless it is open.
-func (p *peers) connect(ctx context.Context, c *peerConn, e pafleet.Entry) error {
-	if c.conn != nil {
-		return nil
-	}
-	raw, err := p.gate.dialCounted(ctx, e.Peers, &p.gate.traffic.neighbours)
-	if err != nil {
-		return trace.Wrap(err)
-	}
-	c.conn, c.entry, c.lastNote = drpcconn.New(raw), pafleet.Entry{}, 0
-	c.ends, c.limits, c.pushbacks = notePosition{}, notePosition{}, notePosition{}
-	return nil
-}
-
 func (p *peers) ownEntryJSON() []byte {
 	b, err := json.Marshal(p.gate.self)
 	if err != nil {
