pagate: an entry VM that asked the former limiter asks its successor in the same call

What callers saw: 429 for a quarter of a second, with the workspace below its limit, at an entry VM that asks a limiter for the first time after that one handed over.

Now the one that is named is asked in the same call, twice at most. TestSuccessorOfTheLimiterIsAskedAtOnce failed before.

--- a/pagate/limiter_test.go
+++ b/pagate/limiter_test.go
@@ -37,6 +37,25 @@
 	t.Errorf("the limiter was not found: %v", err)
 }
 
+// An entry VM that asked the former limiter was told its successor, and refused all requests beyond its own few tokens for a
+// quarter of a second before it asked that one.
+func TestSuccessorOfTheLimiterIsAskedAtOnce(t *testing.T) {
+	f := newTestCluster(t, 5)
+	table := paroute.NewTable(&paroute.Config{Workspaces: []paroute.Workspace{{Name: "w", Rate: 100, Burst: 100}}})
+	asker, former, successor := f.gates[0], f.gates[1], f.gates[2]
+	for _, g := range f.gates {
+		g.state.Store(&state{
+			entries: f.entries(), table: table, fleetPeak: len(f.gates), registered: true, limiter: former.self.Name, limiterAt: 9,
+		})
+	}
+	former.limiter.setHint(successor.self.Name)
+	successor.limiter.claimEnd = successor.uptime() + claimTTL
+	granted, err := asker.limiter.takeTokens(context.Background(), asker.state.Load(), []*pawire.Wanted{{Workspace: "w", Waiting: 1}})
+	if err != nil || len(granted) != 1 {
+		t.Errorf("got %v (%v), want an answer of the successor", granted, err)
+	}
+}
+
 // Messages of other entry VMs must neither get more tokens than a pool holds, nor make it hold more than the limit
 // allows.
 func FuzzLimiterMessages(f *testing.F) {
--- a/pagate/token.go
+++ b/pagate/token.go
@@ -85,25 +85,41 @@
 	defer cancel()
 	l.connMutex.Lock()
 	defer l.connMutex.Unlock()
+	for range maxRedirects + 1 {
+		granted, other, err := l.takeFrom(ctx, s, name, wanted)
+		if err != nil || granted != nil {
+			return granted, err
+		}
+		name = other
+	}
+	return nil, trace.NotFound("%s is not the limiter", name)
+}
+
+// maxRedirects is how many entry VMs that are not the limiter are believed in one call which one is. Requests beyond the own few
+// tokens are refused for a while after a call that failed.
+const maxRedirects = 2
+
+// takeFrom requests tokens from the entry VM with a name. If that is not the limiter, it returns whom it names instead; "" if
+// nobody. connMutex must be held.
+func (l *limiter) takeFrom(ctx context.Context, s *state, name string, wanted []*pawire.Wanted) (granted []*pawire.Granted, other string, err error) {
 	e, ok := l.findEntry(s, name)
-	if !ok || name == g.self.Name {
-		return nil, trace.NotFound("no limiter known")
+	if !ok || name == l.gate.self.Name {
+		return nil, "", trace.NotFound("no limiter known")
 	}
 	r, err := l.callTake(ctx, e, &pawire.TakeRequest{Wanted: wanted, From: l.nameHash})
 	if err != nil {
 		l.disconnect()
 		l.setHint("")
-		return nil, trace.Wrap(err)
+		return nil, "", trace.Wrap(err)
 	}
-	if len(r.GetGranted()) != len(wanted) {
-		other := r.GetLimiter()
-		if other == name {
-			other = ""
-		}
-		l.setHint(other)
-		return nil, trace.NotFound("%s is not the limiter", name)
+	if len(r.GetGranted()) == len(wanted) {
+		return r.GetGranted(), "", nil
+	}
+	if other = r.GetLimiter(); other == name {
+		other = ""
 	}
-	return r.GetGranted(), nil
+	l.setHint(other)
+	return nil, other, nil
 }
 
 // findEntry returns the entry VM with a name. The one that is connected is found also if its registration expired, as
