pasteer, pagate, platform: contended services are told from others, and targets' slowness is read

Cause: nothing tells a deployment whose callers compete for slots from others, and the fourth figure of the load header is dropped. Change: Settings.Contended, Report.Slowness and Balancer.contended; nothing acts on them yet.

--- a/pagate/config.go
+++ b/pagate/config.go
@@ -53,6 +53,10 @@
 	Quota paquota.Tolerance
 	// LinkMbps is the bandwidth of the VM's own link in Mbit/s; 0 means unknown.
 	LinkMbps float64
+	// MemoryMB is the memory limit of the process in megabytes; 0 means unknown.
+	MemoryMB float64
+	// Contended says that callers compete for too few slots at times; see pasteer.Config.
+	Contended bool
 }
 
 // Headers are the names of the headers exchanged with clients and targets.
--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -108,7 +108,8 @@
 		reregister: make(chan struct{}, 1), pathFailed: make(chan struct{}, 1), lostSince: map[string]time.Time{},
 		balancer: pasteer.New(pasteer.Config{
 			Name: s.Name, Zone: s.Zone, Region: s.Region, Regions: s.Regions,
-			RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow, RetryFloor: s.RetryFloor, MaxShift: s.MaxShift, Off: c.Off,
+			RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow, RetryFloor: s.RetryFloor, MaxShift: s.MaxShift,
+			Contended: s.Contended, Off: c.Off,
 		}),
 	}
 	g.requestsCtx, g.cancelRequests = context.WithCancel(context.Background())
--- a/pagate/response.go
+++ b/pagate/response.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -92,7 +91,8 @@
 func (a *attempt) classify(response *http.Response) attemptResult {
 	names := a.gate.config.Headers
 	r := attemptResult{outcome: pasteer.Answered, report: a.report()}
-	r.report.LoadKnown, r.report.Running, r.report.Waiting = parseLoad(response.Header.Get(names.Load))
+	load := parseLoad(response.Header.Get(names.Load))
+	r.report.LoadKnown, r.report.Running, r.report.Waiting, r.report.Slowness = load.known, load.running, load.waiting, load.slowness
 	if n, err := strconv.ParseFloat(response.Header.Get(names.WarmUp), 64); err == nil {
 		r.report.ColdFor = time.Duration(n * float64(time.Millisecond))
 	}
@@ -126,12 +126,6 @@
 	}
 }
 
-// parseLoad parses "running,waiting,slots" and ignores the slots; known is false if the value is malformed.
-func parseLoad(v string) (known bool, running, waiting int) {
-	n, err := fmt.Sscanf(v, "%d,%d", &running, &waiting)
-	return err == nil && n == 2, running, waiting
-}
-
 // parseLimit parses the values of a Limit header. Of none, nothing is limited; anything but one rate is unreadable.
 func parseLimit(values []string) (limited bool, perSecond float64, unreadable bool) {
 	if len(values) == 0 {
--- a/pasteer/balancer.go
+++ b/pasteer/balancer.go
@@ -24,6 +24,8 @@
 	// MaxShift is the largest fraction of a region's requests that may move to another region within two seconds;
 	// 0 means no limit.
 	MaxShift float64
+	// Contended says that callers compete for too few slots at times, at the targets of all services.
+	Contended bool
 	// Off lists the mechanisms that are disabled.
 	Off Off
 }
@@ -103,6 +105,8 @@
 	relayNext, probeNext int
 	// suspectedAt is when targets were last probed because another one was lost.
 	suspectedAt time.Time
+	// tellsSlowness is set once a target reported how slow work is there.
+	tellsSlowness bool
 }
 
 // target is the state of a target from its start to its end; a restart under the same ID makes a new one.
--- a/pasteer/outcome.go
+++ b/pasteer/outcome.go
@@ -60,6 +60,8 @@
 	// Running and Waiting are the requests that the target reports; LoadKnown is set if it reported them.
 	LoadKnown        bool
 	Running, Waiting int
+	// Slowness is the factor by which work takes longer at the target at this moment, by its own report; 0 if it reports none.
+	Slowness float64
 	// ColdFor is how much longer the target reports to be cold.
 	ColdFor time.Duration
 	// Limited is set if the target named a limit, Limit requests a second; LimitUnreadable if what it named is no rate.
@@ -149,6 +151,9 @@
 	if r.LoadKnown {
 		t.otherLoad, t.otherLoadAt = max(0, float64(r.Running+r.Waiting-t.inFlight-1)), now
 	}
+	if svc := b.services[t.state.Service]; svc != nil && r.Slowness > 0 {
+		svc.tellsSlowness = true
+	}
 	if r.Outcome <= Moved {
 		// The target responded: restart the timer for the requests that are still outstanding.
 		t.unresponsiveAt, t.path.reachedAt = time.Time{}, now
