pasubset, pasteer, pagate: one entry VM of a zone sends to a target of a contended service

Cause: every entry VM speaks to every target. Its connections are cold, what it knows of a target's load is seconds old, and requests wait in long queues beside free slots.

Change: weighted rendezvous hashing among the live entry VMs of a zone names the sender of each target. An entry VM that chose a target hands the request to its sender as to a relay; that one chooses finally. Whatever a sender cannot serve for reasons of its own is sent directly. Cold, limited, pushed back and new targets are sent to directly, with the shares as before. Why connections to targets are opened, and why they are not kept, is counted.

--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -36,7 +36,9 @@
 	limiter *limiter
 	conns   *connPool
 	// relayConns are the connections to relays; relayCancels ends what waits for a relay that is lost.
-	relayConns   *connPool
+	relayConns *connPool
+	// senderConns are the connections to the senders of targets in this zone.
+	senderConns  *connPool
 	relayCancels relayCancels
 	// pathFailed wakes watchPaths. lostPaths are the services whose targets this entry VM fails to reach, lostSince when
 	// it began to relay their requests, for watchPaths alone, and pathFailures how the latest connection failed.
@@ -119,6 +121,7 @@
 	g.meter = newMeter(g)
 	g.conns = &connPool{dial: c.Network.Dial, clock: c.Clock, idle: map[netip.AddrPort][]*targetConn{}}
 	g.relayConns = g.newRelayPool()
+	g.senderConns = g.newSenderPool()
 	g.peers = newPeers(g)
 	g.limiter = newLimiter(g)
 	g.quotas = newRateShares(g)
--- a/pagate/loop.go
+++ b/pagate/loop.go
@@ -40,6 +40,7 @@
 			changed = v.ExpireLapsed(now)
 			g.conns.closeExpired(now)
 			g.relayConns.closeExpired(now)
+			g.senderConns.closeExpired(now)
 			g.logDroppedLines()
 			g.endPushbacks()
 			g.quarantineChanged(g.quarantine.Tick(now))
--- a/pagate/meter.go
+++ b/pagate/meter.go
@@ -79,8 +79,15 @@
 	for _, f := range failures {
 		m.attemptFailures(f).Set(0)
 	}
+	for _, r := range openReasons {
+		m.openedFor(r).Set(0)
+	}
+	for _, r := range endReasons {
+		m.endedFor(r).Set(0)
+	}
 	for _, o := range []relayOutcome{relayAnswered, relayNotRun, relayUnknown} {
 		m.relayed(string(o)).Set(0)
+		m.handedOver(string(o)).Set(0)
 	}
 	m.set.NewGauge("papayahead_gate_requests_in_flight", func() float64 { return float64(g.inFlight.Load()) })
 	m.set.NewGauge("papayahead_gate_configuration_version", func() float64 { return float64(g.state.Load().configVersion()) })
@@ -166,6 +173,29 @@
 	}
 }
 
+// openedFor counts connections that were opened to targets for requests, endedFor those that no further request used after a response.
+func (m *meter) openedFor(r openReason) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`papayahead_gate_target_connections_opened_total{reason="` + string(r) + `"}`)
+}
+
+func (m *meter) endedFor(r endReason) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`papayahead_gate_target_connections_ended_total{reason="` + string(r) + `"}`)
+}
+
+// handedOver counts requests that were handed to the sender of their target.
+func (m *meter) handedOver(outcome string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`papayahead_gate_handed_over_total{outcome="` + outcome + `"}`)
+}
+
+// countHandedOver counts a request that was handed to the sender of its target, by what became of it there, and what the detour
+// added; 0 if unknown.
+func (m *meter) countHandedOver(outcome string, delay time.Duration) {
+	m.handedOver(outcome).Inc()
+	if delay > 0 {
+		m.set.GetOrCreateHistogram("papayahead_gate_hand_over_delay_seconds").Update(delay.Seconds())
+	}
+}
+
 func (m *meter) countRequest(_ string, status int, reason string, took, behind time.Duration) {
 	m.set.GetOrCreateCounter(`papayahead_gate_requests_total{status="` + strconv.Itoa(status) + `",reason="` + reason + `"}`).Inc()
 	m.set.GetOrCreateHistogram("papayahead_gate_request_duration_seconds").Update(took.Seconds())
--- a/pagate/paths.go
+++ b/pagate/paths.go
@@ -32,6 +32,7 @@
 // checkPaths starts the probes that are due.
 func (g *Gate) checkPaths(ctx context.Context) {
 	now := g.config.Clock.Now()
+	g.updateSenders()
 	g.balancerMutex.Lock()
 	hasLost := g.balancer.HasLost()
 	g.balancerMutex.Unlock()
--- a/pagate/pool.go
+++ b/pagate/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
@@ -45,31 +46,72 @@
 	// idleLimit is how long the connection may be idle.
 	idleLimit time.Duration
 	reused    bool
+	// openedFor is why it was opened for a request.
+	openedFor openReason
+}
+
+// openReason is why a connection was opened although others may have been idle.
+type openReason string
+
+const (
+	// openNoIdle means that none was idle.
+	openNoIdle openReason = "NoIdle"
+	// openIdleForOnce means that it was idle for too long to carry a request that must run once, openIdleTooLong for any.
+	openIdleForOnce openReason = "IdleForOnce"
+	openIdleTooLong openReason = "IdleTooLong"
+	// openClosed means that the target had closed it, or sent what nobody asked for; openRestarted that it led to an earlier run.
+	openClosed    openReason = "Closed"
+	openRestarted openReason = "Restarted"
+)
+
+var openReasons = []openReason{openNoIdle, openIdleForOnce, openIdleTooLong, openClosed, openRestarted}
+
+// unusableFor returns why an idle connection cannot carry a request to a run of a target; empty if it can.
+func (c *targetConn) unusableFor(target string, born int64, idle, maxIdle time.Duration) openReason {
+	switch {
+	case c.target != target || c.born != born:
+		return openRestarted
+	case idle >= c.idleLimit:
+		return openIdleTooLong
+	case idle >= maxIdle:
+		return openIdleForOnce
+	case !c.isQuiet():
+		return openClosed
+	}
+	return ""
 }
 
 // connPool keeps idle connections to targets.
 type connPool struct {
-	dial  func(ctx context.Context, network, address string) (net.Conn, error)
-	clock clockwork.Clock
-	mutex sync.Mutex
-	idle  map[netip.AddrPort][]*targetConn
+	dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// dialTimeout bounds the opening of a connection for a request; 0 means the constant.
+	dialTimeout time.Duration
+	clock       clockwork.Clock
+	mutex       sync.Mutex
+	idle        map[netip.AddrPort][]*targetConn
 }
 
 // get returns a connection to a run of a target: one that was idle for less than maxIdle, or a new one.
 func (p *connPool) get(ctx context.Context, address netip.AddrPort, target string, born int64, maxIdle time.Duration) (*targetConn, error) {
+	reason := openNoIdle
 	for {
 		c := p.popIdle(address)
 		if c == nil {
 			break
 		}
-		idle := p.clock.Since(c.lastUsed)
-		if c.target == target && c.born == born && idle < min(maxIdle, c.idleLimit) && c.isQuiet() {
+		why := c.unusableFor(target, born, p.clock.Since(c.lastUsed), maxIdle)
+		if why == "" {
 			c.reused = true
 			return c, nil
 		}
+		reason = why
 		c.Close()
 	}
-	return p.connect(ctx, address, target, born, dialTimeout)
+	c, err := p.connect(ctx, address, target, born, cmp.Or(p.dialTimeout, dialTimeout))
+	if c != nil {
+		c.openedFor = reason
+	}
+	return c, err
 }
 
 // connect opens a connection to a run of a target.
--- a/pagate/relay.go
+++ b/pagate/relay.go
@@ -85,12 +85,15 @@
 	if r.relayed == nil {
 		return r.notExecuted
 	}
-	return r.notExecuted && r.relayed.Elsewhere && x.unbuffered == nil
+	return r.notExecuted && (r.relayed.Elsewhere || x.lastChoice.Sender != 0 && r.relayed.isOwnRefusal()) && x.unbuffered == nil
 }
 
 // pickRelay chooses the relay of the next attempt.
 func (g *Gate) pickRelay(x *exchange) (pasteer.Peer, bool) {
 	now := g.config.Clock.Now()
+	if x.lastChoice.Sender != 0 {
+		return g.pickSender(x, now)
+	}
 	if x.lastChoice.ToSender {
 		g.updateRelayPeers(now)
 	}
@@ -109,6 +112,10 @@
 
 // reportRelay reports the outcome of a relayed attempt to the balancer and counts it.
 func (g *Gate) reportRelay(x *exchange, p pasteer.Peer, r attemptResult) {
+	if x.lastChoice.Sender != 0 {
+		g.reportSender(x, p, r)
+		return
+	}
 	report := pasteer.RelayReport{Name: p.Name, Service: x.service, Object: x.object}
 	outcome := r.outcome.String()
 	if r.relayed == nil {
@@ -148,6 +155,9 @@
 		defer done()
 	}
 	a := &attempt{gate: g, x: x, choice: c, relayCall: string(call), startedAt: g.config.Clock.Now()}
+	if x.lastChoice.Sender != 0 {
+		return a.sendOn(ctx, g.senderConns)
+	}
 	return a.sendOn(ctx, g.relayConns)
 }
 
@@ -163,6 +173,8 @@
 		r.outcome = pasteer.Failed
 	}
 	if said.Outcome == relayAnswered {
+		load := parseLoad(response.Header.Get(a.gate.config.Headers.Load))
+		r.report.LoadKnown, r.report.Running, r.report.Waiting = load.known, load.running, load.waiting
 		a.gate.observeDraining(said.Target, said.Born, response.Header)
 		return a.readBody(ctx, response, r)
 	}
--- a/pagate/response.go
+++ b/pagate/response.go
@@ -149,8 +149,10 @@
 		written = err == nil
 	default:
 	}
-	unframed := response.ContentLength < 0 && len(response.TransferEncoding) == 0
-	if !whole || !written || response.Close || unframed || a.conn.reader.Buffered() > 0 {
+	if why := a.endReason(response, whole, written); why != "" {
+		if a.relayCall == "" {
+			a.gate.meter.endedFor(why).Inc()
+		}
 		a.conn.Close()
 		return
 	}
@@ -160,6 +162,39 @@
 	a.pool.put(a.conn)
 }
 
+// endReason is why a connection is not used again after a response.
+type endReason string
+
+const (
+	// endUnread means that the response was not read to its end, endUnwritten that the request was not written to its end.
+	endUnread    endReason = "Unread"
+	endUnwritten endReason = "Unwritten"
+	// endByTarget means that the target closes it, endUnframed that only its end tells that of the response, and endStray that
+	// more than the response arrived.
+	endByTarget endReason = "ByTarget"
+	endUnframed endReason = "Unframed"
+	endStray    endReason = "Stray"
+)
+
+var endReasons = []endReason{endUnread, endUnwritten, endByTarget, endUnframed, endStray}
+
+// endReason returns why the connection is not used again after the response; empty if it is.
+func (a *attempt) endReason(response *http.Response, whole, written bool) endReason {
+	switch {
+	case !whole:
+		return endUnread
+	case !written:
+		return endUnwritten
+	case response.Close:
+		return endByTarget
+	case response.ContentLength < 0 && len(response.TransferEncoding) == 0:
+		return endUnframed
+	case a.conn.reader.Buffered() > 0:
+		return endStray
+	}
+	return ""
+}
+
 // parseKeepAlive returns the timeout of a Keep-Alive header.
 func parseKeepAlive(v string) (time.Duration, bool) {
 	for _, p := range strings.Split(v, ",") {
--- a/pagate/send.go
+++ b/pagate/send.go
@@ -94,6 +94,7 @@
 	r := a.sendOn(ctx, g.conns)
 	if a.connected {
 		g.meter.targetConns.Inc()
+		g.meter.openedFor(a.conn.openedFor).Inc()
 		r.report.Connected = true
 	}
 	r.report.Unreached = r.failure == failureUnacked
--- a/pasteer/balancer.go
+++ b/pasteer/balancer.go
@@ -79,6 +79,8 @@
 	peers       []Peer
 	peerByHash  map[uint64]Peer
 	relayStates map[string]*relayState
+	// senders are the entry VMs of this zone, each of which sends to a part of the targets of contended services.
+	senders zoneSenders
 }
 
 // service is the state of one service. Its targets are sorted by ID.
@@ -162,6 +164,8 @@
 	// path is this entry VM's path to the target; viaRelay is set while requests reach it through another entry VM.
 	path     path
 	viaRelay bool
+	// sender is the hash of the entry VM of this zone that sends to the target, computed for one version of zoneSenders.
+	sender, senderVersion uint64
 }
 
 // New returns a Balancer without targets; Update supplies them.
--- a/pasteer/choose.go
+++ b/pasteer/choose.go
@@ -31,6 +31,9 @@
 	Deadline time.Time
 	// Direct is set if no other entry VM may take the request.
 	Direct bool
+	// NoSender is set if the request is not to be handed to the sender of its target: it was handed over already, or its body is
+	// not held in memory and can be sent only once.
+	NoSender bool
 
 	// cachedKey is the result of key once it was computed.
 	cachedKey uint64
@@ -61,6 +64,8 @@
 	Relay bool
 	// ToSender is set if that is one of those that send to targets which named a limit: PickLimitSender returns it.
 	ToSender bool
+	// Sender is set if that is the one of this zone that sends to Target, to the hash of its name: StartSender returns it.
+	Sender uint64
 }
 
 // Reason is why a request is refused.
@@ -129,7 +134,7 @@
 		l.useAvoided()
 		c = b.pick(svc, l.all, q, now)
 	}
-	return c
+	return b.toSender(svc, c, q, now)
 }
 
 // refusal refuses a request for which no target is usable, for the reason that is over first.
--- /dev/null
+++ b/pasteer/sender.go
@@ -0,0 +1,180 @@
+package pasteer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"papayahead/pasubset"
+)
+
+// zoneSenders are the live entry VMs of this zone, among which the targets of contended services are divided: each sends to a part of
+// them, and is handed the requests of the others for these. The zero value has none.
+type zoneSenders struct {
+	// entries are all of them, this one included, by hash; peers are the others.
+	entries []pasubset.Entry
+	peers   map[uint64]Peer
+	// version identifies entries in the targets' cached senders.
+	version uint64
+}
+
+const (
+	// maxQuiet is how long an entry VM may leave all that it was handed without a response before this one sends by itself. Long
+	// runs exceed it, which costs them a colder connection.
+	maxQuiet = time.Second
+	// quietRetryInterval is the time between two requests that a quiet entry VM is handed.
+	quietRetryInterval = time.Second
+	// leavingTTL is how long an entry VM that shuts down is handed nothing; its registration is gone by then.
+	leavingTTL = 5 * time.Second
+)
+
+// UsesSenders reports whether any service has its targets divided among the entry VMs of a zone.
+func (b *Balancer) UsesSenders() bool {
+	if b.Config.Off.Relays || b.Config.Off.Senders {
+		return false
+	}
+	for _, svc := range b.services {
+		if b.contended(svc) {
+			return true
+		}
+	}
+	return false
+}
+
+// UpdateSenders replaces the live entry VMs of this zone: this one with the bandwidth of its link in Mbit/s, and the others.
+func (b *Balancer) UpdateSenders(ownMbps float64, others []Peer) {
+	entries := []pasubset.Entry{{Hash: b.hash, Weight: pasubset.Weight(ownMbps)}}
+	b.senders.peers = make(map[uint64]Peer, len(others))
+	for _, p := range others {
+		hash := xxhash.Sum64String(p.Name)
+		b.senders.peers[hash] = p
+		entries = append(entries, pasubset.Entry{Hash: hash, Weight: pasubset.Weight(p.LinkMbps)})
+	}
+	slices.SortFunc(entries, func(x, y pasubset.Entry) int { return cmp.Compare(x.Hash, y.Hash) })
+	if !slices.Equal(entries, b.senders.entries) {
+		b.senders.entries = entries
+		b.senders.version++
+	}
+}
+
+// senderOf returns the hash of the entry VM of this zone that sends to the target, and computes it if the entry VMs changed.
+func (b *Balancer) senderOf(t *target) uint64 {
+	if t.senderVersion != b.senders.version {
+		t.sender, t.senderVersion = pasubset.Sender(b.senders.entries, t.hash), b.senders.version
+	}
+	return t.sender
+}
+
+// toSender has a chosen request handed to the entry VM of this zone that sends to its target, if that is another one which is
+// expected to serve it. That one chooses finally, by what it knows.
+//
+// Dozens of entry VMs that each send to hundreds of targets know the load of each from an answer some seconds ago, and open a
+// connection for every second request. Where callers compete for slots, requests then lie in long queues beside free slots.
+func (b *Balancer) toSender(svc *service, c Choice, q Request, now time.Time) Choice {
+	if c.Target == "" || c.Relay || !b.mayHandOver(svc, q) {
+		return c
+	}
+	t := b.targets[c.Target]
+	if t == nil || !t.isShared(now) {
+		return c
+	}
+	hash := b.senderOf(t)
+	p, ok := b.senders.peers[hash]
+	if !ok || p.Lost[svc.name].Targets > 0 || b.relayFails(p.Name, svc.name, now) || b.isQuiet(p.Name, now) {
+		return c
+	}
+	c.Relay, c.Sender = true, hash
+	return c
+}
+
+// mayHandOver reports whether the request may be handed to the sender of its target: it is contended for, new and not relayed to this
+// entry VM, and may be handled in this region. A caller may have connected outside the regions that the request is bound to; then
+// it crosses no further entry VM there.
+func (b *Balancer) mayHandOver(svc *service, q Request) bool {
+	return len(b.senders.peers) > 0 && b.contended(svc) && !b.Config.Off.Relays && !b.Config.Off.Senders && !q.Direct && !q.NoSender &&
+		len(q.Tried) == 0 && len(q.Unreached) == 0 && q.allows(b.Config.Region)
+}
+
+// isShared reports whether the target's requests go through its sender.
+//
+// The rate that a target bears while it is cold, or that it names, is divided among entry VMs, each of which holds its share in
+// tokens. If a request needed one at the entry VM that chose and another at the sender, the sender's share would be all that
+// the target gets. So whoever has a token sends by itself, and the sum of the shares stays the bound. A target that asked
+// this entry VM for time, or that joined and is not known to be used, is also tried by the entry VM whose turn it is.
+func (t *target) isShared(now time.Time) bool {
+	return (t.used || t.joinedAt.IsZero()) && !t.isCold(now) && !t.limit.limited && t.pushback == nil
+}
+
+// StartSender returns the entry VM that a choice hands the request to, and records that; false if it is not known any more.
+func (b *Balancer) StartSender(c Choice, q Request, now time.Time) (Peer, bool) {
+	p, ok := b.senders.peers[c.Sender]
+	if !ok {
+		return Peer{}, false
+	}
+	s := b.relayState(p.Name)
+	s.startQuiet(now)
+	b.StartRelay(p.Name)
+	b.recordSent(c, q, now)
+	return p, true
+}
+
+// SenderReport describes how a request ended that was handed to the sender of its target.
+type SenderReport struct {
+	RelayReport
+	// Leaving says that the sender shuts down, Responded that it responded at all.
+	Leaving, Responded bool
+	// LoadKnown is set if the target's response told its running and waiting requests, Load of them.
+	LoadKnown bool
+	Load      int
+}
+
+// FinishSender records how a request ended that StartSender handed over.
+func (b *Balancer) FinishSender(r SenderReport, q Request, now time.Time) {
+	b.FinishRelay(r.RelayReport, now)
+	s := b.relayState(r.Name)
+	if r.Leaving {
+		s.fail("", now, leavingTTL)
+	}
+	if r.Responded {
+		s.endQuiet(now)
+	}
+	t := b.targets[r.Target]
+	if t == nil || !r.Responded {
+		return
+	}
+	t.used, b.used[t.state.Service] = true, true
+	if r.LoadKnown {
+		t.otherLoad, t.otherLoadAt = max(0, float64(r.Load-t.inFlight-1)), now
+	}
+	if q.hasAffinity() && len(q.Tried) == 0 {
+		// The sender may have chosen another target.
+		b.lastTargets.put(q.lastTargetKey(), r.Target)
+	}
+}
+
+// isQuiet reports whether an entry VM has responded to nothing for too long while it had requests of this one. An entry VM that loses
+// power refuses no connection, and only few others of a large zone call it; the store tells seconds later.
+func (b *Balancer) isQuiet(name string, now time.Time) bool {
+	s := b.relayStates[name]
+	return s != nil && !s.quietSince.IsZero() && now.Sub(s.quietSince) > maxQuiet && now.Before(s.quietTryAt)
+}
+
+// startQuiet records that the entry VM is handed a request.
+func (s *relayState) startQuiet(now time.Time) {
+	switch {
+	case s.quietSince.IsZero():
+		s.quietSince, s.quietTryAt = now, now.Add(maxQuiet+quietRetryInterval)
+	case now.Sub(s.quietSince) > maxQuiet:
+		s.quietTryAt = now.Add(quietRetryInterval)
+	}
+}
+
+// endQuiet records that it responded.
+func (s *relayState) endQuiet(now time.Time) {
+	s.quietSince = time.Time{}
+	if s.outstanding > 0 {
+		s.quietSince, s.quietTryAt = now, now.Add(maxQuiet+quietRetryInterval)
+	}
+}
