--- a/pagate/meter.go
+++ b/pagate/meter.go
@@ -168,9 +168,7 @@
 // unknown.
 func (m *meter) countRelayed(outcome string, delay time.Duration) {
 	m.relayed(outcome).Inc()
-	if delay > 0 {
-		m.set.GetOrCreateHistogram("papayahead_gate_relay_delay_seconds").Update(delay.Seconds())
-	}
+	m.observeDetour(delay)
 }
 
 // openedFor counts connections that were opened to targets for requests, endedFor those that no further request used after a response.
@@ -191,8 +189,13 @@
 // added; 0 if unknown.
 func (m *meter) countHandedOver(outcome string, delay time.Duration) {
 	m.handedOver(outcome).Inc()
+	m.observeDetour(delay)
+}
+
+// observeDetour records what a detour through another entry VM added; 0 if unknown.
+func (m *meter) observeDetour(delay time.Duration) {
 	if delay > 0 {
-		m.set.GetOrCreateHistogram("papayahead_gate_hand_over_delay_seconds").Update(delay.Seconds())
+		m.set.GetOrCreateHistogram("papayahead_gate_relay_delay_seconds").Update(delay.Seconds())
 	}
 }
 
