pawaiting, pasteer, pagate: requests to contended services wait in the entry VM, the most urgent first

Cause: no decision read a route's or workspace's priority. What waits, waited in the targets' queues in the order of arrival, where it cannot be overtaken, taken back or placed elsewhere. Change: pawaiting.Room holds what waits, by target: urgency, then what can still be in time, then by what its workspace got of its usual, then by due time; the least urgent keep a twentieth of the slots' time; bounded in number, bytes and time. A request to a contended service is sent only while its target is believed to have a place for it, else it waits and is chosen a target anew when a request there ends, when targets or the configuration change, and periodically. The last quarter of a contended service's retry budget is kept for what is more urgent than the least urgent route. Metrics by priority; RequestEnded tells the wait.

--- a/paevent/gaterequest.go
+++ b/paevent/gaterequest.go
@@ -38,6 +38,11 @@
 	BehindMicroseconds int64 `json:",omitempty"`
 	// LimitMicroseconds is how long the request waited for a token of its workspace's rate limit.
 	LimitMicroseconds int64 `json:",omitempty"`
+	// Priority is the urgency of the request, 0 the most urgent; RoomMicroseconds is how long it waited in this entry VM for a free
+	// slot, and Overtaken how many later requests were sent before it meanwhile.
+	Priority         int   `json:",omitempty"`
+	RoomMicroseconds int64 `json:",omitempty"`
+	Overtaken        int   `json:",omitempty"`
 	// KnownMilliseconds is the age of the gate's view of the deployment; the view includes all writes of the store
 	// up to Revision.
 	KnownMilliseconds int64
--- a/pagate/answer.go
+++ b/pagate/answer.go
@@ -156,9 +156,9 @@
 // other requests one in servedLogInterval is logged.
 func (g *Gate) recordEnd(x *exchange, status int, reason string) {
 	elapsed := g.config.Clock.Since(x.arrived)
-	route := ""
+	route, priority := "", 0
 	if x.route != nil {
-		route = x.route.Name
+		route, priority = x.route.Name, x.priority()
 	}
 	from := ""
 	if x.relayed != nil {
@@ -181,7 +181,7 @@
 		Workspace: x.workspaceName(), Target: x.lastChoice.Target, Object: x.object,
 		Tried: len(x.tried), Sheds: x.sheds, Relays: x.relays, From: from, Failure: string(x.lastFailure), Version: x.version, Microseconds: elapsed.Microseconds(),
 		Load: x.lastChoice.Load, Warm: x.lastChoice.Warm, Held: x.lastChoice.Held, BehindMicroseconds: x.pipelineWait.Microseconds(),
-		LimitMicroseconds: x.limitWait.Microseconds(),
+		LimitMicroseconds: x.limitWait.Microseconds(), Priority: priority, RoomMicroseconds: x.roomWait.Microseconds(), Overtaken: x.overtaken,
 		KnownMilliseconds: g.age(s).Milliseconds(), Revision: uint64(s.revision),
 	})
 }
--- a/pagate/draining.go
+++ b/pagate/draining.go
@@ -14,6 +14,10 @@
 	g.balancerMutex.Lock()
 	isNew := g.balancer.NoteDraining(target, born, g.config.Clock.Now())
 	service := g.balancer.ServiceOf(target)
+	if isNew {
+		g.balancer.LeaveTarget(target, g.config.Clock.Now())
+		g.wakeReleased()
+	}
 	g.balancerMutex.Unlock()
 	if isNew && g.pushbackLines.take(g.config.Clock.Now()) {
 		g.record(paevent.TargetDraining{Target: target, Service: service, Born: born})
--- a/pagate/forward.go
+++ b/pagate/forward.go
@@ -11,7 +11,7 @@
 func (g *Gate) forward(ctx context.Context, w http.ResponseWriter, x *exchange) {
 	var a attempts
 	for {
-		c := g.choose(x)
+		c := g.choose(ctx, x)
 		switch {
 		case c.Target == "" && a.room && c.Reason == pasteer.ReasonNoTarget:
 			g.answerLastFailure(w, x, a.last, true)
@@ -108,10 +108,14 @@
 	return room, room && !g.balancer.PrefersAnother(c, g.config.Clock.Now())
 }
 
-// choose picks the target of the next attempt.
-func (g *Gate) choose(x *exchange) pasteer.Choice {
+// choose picks the target of the next attempt. For a contended service it may wait until there is a place.
+func (g *Gate) choose(ctx context.Context, x *exchange) pasteer.Choice {
 	now := g.config.Clock.Now()
 	g.balancerMutex.Lock()
+	if g.balancer.Contended(x.service) {
+		g.balancerMutex.Unlock()
+		return g.chooseOrWait(ctx, x)
+	}
 	defer g.balancerMutex.Unlock()
 	q := x.balancerRequest()
 	c := g.balancer.Choose(q, now)
@@ -127,7 +131,7 @@
 func (x *exchange) balancerRequest() pasteer.Request {
 	return pasteer.Request{
 		Route: x.route, Service: x.service, Object: x.object, Tried: x.tried, Unreached: x.unreached, Deadline: x.deadline,
-		Regions: x.allowedRegions(), Avoid: x.avoid, Direct: x.direct,
+		Regions: x.allowedRegions(), Avoid: x.avoid, Direct: x.direct, Priority: x.priority(),
 	}
 }
 
@@ -155,6 +159,7 @@
 	}
 	x.lastFailure = r.failure
 	g.balancer.Finish(r.report, now)
+	g.wakeReleased()
 	g.meter.countAttempt(r.outcome, r.failure)
 	if changes := g.balancer.LimitChanges(); len(changes) > 0 {
 		defer g.limitsChanged(changes)
@@ -181,9 +186,7 @@
 	if x.deadline.Sub(now) < x.route.TargetLatency/retryLatencyDivisor {
 		return false
 	}
-	g.balancerMutex.Lock()
-	defer g.balancerMutex.Unlock()
-	return g.balancer.TakeRetry(x.service, now)
+	return g.retryAllowed(x, now)
 }
 
 // retryLatencyDivisor is the divisor of a route's target latency that yields the time that must be left for another
--- a/pagate/front.go
+++ b/pagate/front.go
@@ -58,6 +58,9 @@
 	failedReply     *reply
 	// lastChoice is the last choice of a target, for the log.
 	lastChoice pasteer.Choice
+	// roomWait is how long the request waited for a free slot, overtaken how many later ones were sent before it meanwhile.
+	roomWait  time.Duration
+	overtaken int
 	// lastFailure is how the last attempt failed, for the log.
 	lastFailure failure
 	// clientCtx is done when the client disconnects.
--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -71,6 +71,8 @@
 	balancerMutex sync.Mutex
 	balancer      *pasteer.Balancer
 	relayPeersAt  time.Time
+	// waiting are the requests that wait in the balancer's room.
+	waiting map[*pasteer.Waiter]*waitingRequest
 
 	// requestsCtx is canceled shortly before the process is killed, so that requests in progress still get a
 	// response.
@@ -106,6 +108,7 @@
 		pushbackLines: tokenBucket{rate: changeLineRate, burst: changeLineBurst},
 		startedAt:     c.Clock.Now(), firstConfig: make(chan struct{}),
 		reregister: make(chan struct{}, 1), pathFailed: make(chan struct{}, 1), lostSince: map[string]time.Time{},
+		waiting: map[*pasteer.Waiter]*waitingRequest{},
 		balancer: pasteer.New(pasteer.Config{
 			Name: s.Name, Zone: s.Zone, Region: s.Region, Regions: s.Regions,
 			RetryRatio: s.RetryRatio, RetryWindow: s.RetryWindow, RetryFloor: s.RetryFloor, MaxShift: s.MaxShift,
@@ -123,6 +126,7 @@
 	g.limiter = newLimiter(g)
 	g.quotas = newRateShares(g)
 	g.exportTraffic()
+	g.exportWaiting()
 	return g
 }
 
--- a/pagate/loop.go
+++ b/pagate/loop.go
@@ -84,7 +84,11 @@
 			g.logKeyChanges(old.table, next.table)
 		}
 		g.balancerMutex.Lock()
+		if next.table != nil && next.table != old.table {
+			g.updateWaiting(next.table)
+		}
 		g.balancer.Update(v, now)
+		g.wakeReleased()
 		g.balancerMutex.Unlock()
 		g.conns.closeRemoved(v)
 	}
--- a/pasteer/admit.go
+++ b/pasteer/admit.go
@@ -10,13 +10,16 @@
 // or would answer too late. A standing queue also counts where the choice knows of no wait, since the target's last load
 // report is then older than a run.
 func (b *Balancer) shouldRefuse(c Choice, q Request, now time.Time) bool {
-	if c.Load >= maxLoad {
+	t := b.targets[c.Target]
+	if c.Load >= maxLoad && !(t != nil && b.waitsHere(t)) {
 		return true
 	}
 	if c.wait > 0 && now.Add(c.finish).After(q.Deadline) {
 		return true
 	}
-	t := b.targets[c.Target]
+	if q.waiting != nil {
+		return false
+	}
 	return t != nil && !b.Config.Off.StandingQueues && t.hasStandingQueue(now, q.Route) && b.missesTargetLatency(t, q, c, now)
 }
 
@@ -36,7 +39,7 @@
 
 // missesTargetLatency reports whether the request would wait in the target's queue and be answered after its target latency.
 func (b *Balancer) missesTargetLatency(t *target, q Request, c Choice, now time.Time) bool {
-	load := float64(t.inFlight) + t.queuedOtherLoad(now, c.wait > 0)
+	load := float64(t.inFlight) + t.queuedOtherLoad(now, c.wait > 0) + b.waitingAhead(t, q, now)
 	wait := max(0, (load+1-t.slots())/t.slots()) * float64(b.expectedRun(q, true))
 	if wait <= 0 {
 		return false
--- a/pasteer/balancer.go
+++ b/pasteer/balancer.go
@@ -7,6 +7,7 @@
 
 	"papayahead/pafleet"
 	"papayahead/paroute"
+	"papayahead/pawaiting"
 )
 
 // Config is the entry VM's location and the limits that the platform sets.
@@ -26,6 +27,8 @@
 	MaxShift float64
 	// Contended says that callers compete for too few slots at times, at the targets of all services.
 	Contended bool
+	// Room bounds the waiting room for requests to contended services.
+	Room pawaiting.Config
 	// Off lists the mechanisms that are disabled.
 	Off Off
 }
@@ -79,6 +82,13 @@
 	peers       []Peer
 	peerByHash  map[uint64]Peer
 	relayStates map[string]*relayState
+	// room holds the requests to contended services that wait here; waiters are those of its items, and released those that left it
+	// and that the caller has not taken yet.
+	room     pawaiting.Room
+	waiters  map[*pawaiting.Item]*Waiter
+	released []*Waiter
+	// mostUrgent and leastUrgent are the bounds of the priorities of the routes.
+	mostUrgent, leastUrgent int
 }
 
 // service is the state of one service. Its targets are sorted by ID.
@@ -167,11 +177,11 @@
 // New returns a Balancer without targets; Update supplies them.
 func New(c Config) *Balancer {
 	return &Balancer{
-		Config: c, hash: xxhash.Sum64String(c.Name), targets: map[string]*target{}, services: map[string]*service{},
+		Config: c, room: pawaiting.Room{Config: c.Room}, hash: xxhash.Sum64String(c.Name), targets: map[string]*target{}, services: map[string]*service{},
 		splits: map[string]*paroute.Splitter{}, runTimes: map[string]*runTimes{}, used: map[string]bool{},
 		warmTargets: map[uint64][]*target{}, entryCount: 1, coldShares: map[string]coldShare{},
 		relayStates: map[string]*relayState{}, pushbacks: map[lifetime]*pushback{}, drainings: map[lifetime]time.Time{},
-		hints: map[lifetime]hint{},
+		hints: map[lifetime]hint{}, waiters: map[*pawaiting.Item]*Waiter{},
 	}
 }
 
--- a/pasteer/budget.go
+++ b/pasteer/budget.go
@@ -56,10 +56,14 @@
 		return false
 	}
 	requests, retries := svc.budget.totals(now, b.Config.RetryWindow)
-	limit := budgetShare * (b.Config.RetryRatio*float64(requests) + b.Config.RetryFloor/float64(b.entryCount))
-	if b.Config.Off.SecondSends || float64(retries+1) > limit && !b.Config.Off.RetryBudget {
+	if b.Config.Off.SecondSends || float64(retries+1) > b.retryLimit(requests) && !b.Config.Off.RetryBudget {
 		return false
 	}
 	svc.budget.events[svc.budget.bucketAt(now, b.Config.RetryWindow)]++
 	return true
 }
+
+// retryLimit returns how many retries the budget allows beside a number of requests.
+func (b *Balancer) retryLimit(requests int) float64 {
+	return budgetShare * (b.Config.RetryRatio*float64(requests) + b.Config.RetryFloor/float64(b.entryCount))
+}
--- a/pasteer/choose.go
+++ b/pasteer/choose.go
@@ -9,6 +9,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"papayahead/paroute"
+	"papayahead/pawaiting"
 )
 
 // Request describes a request to be sent to a target.
@@ -29,11 +30,15 @@
 	Avoid []string
 	// Deadline is when the caller no longer accepts an answer.
 	Deadline time.Time
+	// Priority is the urgency of the request; 0 is the most urgent.
+	Priority int
 	// Direct is set if no other entry VM may take the request.
 	Direct bool
 
 	// cachedKey is the result of key once it was computed.
 	cachedKey uint64
+	// waiting is set while the request waits in the room.
+	waiting *pawaiting.Item
 }
 
 // Choice is a target for a request, or a refusal.
@@ -78,6 +83,10 @@
 	ReasonPushback Reason = "Pushback"
 	// ReasonLimited means that only targets are left that named a limit, and get as many requests as that.
 	ReasonLimited Reason = "Limited"
+	// ReasonRoomFull means that the waiting room is full of requests that are at least as urgent.
+	ReasonRoomFull Reason = "RoomFull"
+	// ReasonTooLate means that the request waited until an answer could no longer come before its deadline.
+	ReasonTooLate Reason = "TooLate"
 )
 
 // The values of Choice.RetryAfter. A new target becomes known within a heartbeat, and a cold one bears another request
--- a/pasteer/off.go
+++ b/pasteer/off.go
@@ -31,6 +31,8 @@
 	PressedRegions bool
 	// Relays hands no request to other entry VMs, and SteerAway names entry VMs that do so in look-ups like others.
 	Relays, SteerAway bool
+	// WaitingRoom sends requests to contended services at once, like others.
+	WaitingRoom bool
 	// GreyTargets treats targets that fail part of their requests like others, SilentTargets those that are unresponsive.
 	GreyTargets, SilentTargets bool
 }
--- a/pasteer/outcome.go
+++ b/pasteer/outcome.go
@@ -143,6 +143,11 @@
 
 // Finish records how a request ended that was passed to Start.
 func (b *Balancer) Finish(r Report, now time.Time) {
+	b.finish(r, now)
+	b.dispatch(r.Target, now)
+}
+
+func (b *Balancer) finish(r Report, now time.Time) {
 	t := b.targets[r.Target]
 	if t == nil {
 		return
--- a/pasteer/pick.go
+++ b/pasteer/pick.go
@@ -101,7 +101,7 @@
 // estimate returns the expected load, times and cost of sending the request to the target. warm is whether the target is
 // warm for the request's object.
 func (b *Balancer) estimate(t *target, q Request, warm bool, now time.Time) estimate {
-	load := t.load(now)
+	load := t.load(now) + b.waitingAhead(t, q, now)
 	if t.viaRelay {
 		// What is outstanding here has lost its path, and reports do not arrive.
 		load = 0
--- a/pasteer/update.go
+++ b/pasteer/update.go
@@ -36,6 +36,8 @@
 		b.groupTargets(svc)
 		b.divideLimits(svc, now)
 	}
+	b.updateUrgencies(v.Config)
+	b.reconsiderAll(now)
 }
 
 // updateServices applies the services of the configuration and empties their lists of targets.
