--- a/pasteer/off.go
+++ b/pasteer/off.go
@@ -33,6 +33,8 @@
 	Relays, SteerAway bool
 	// Senders has each entry VM send to all targets of contended services by itself.
 	Senders bool
+	// WaitingRoom sends requests to contended services at once, like others.
+	WaitingRoom bool
 	// GreyTargets treats targets that fail part of their requests like others, SilentTargets those that are unresponsive.
 	GreyTargets, SilentTargets bool
 }
