pareturn, pagate: refused callers of contended services book a place to return to

Under an overload all refused callers were told about the same time, returned together and were mostly refused again. Each now books the next time at which a token of its workspace or room at its service is expected, the more urgent first; what returns as told finds the token left to it. Services that are not contended keep their times.

--- a/pagate/answer.go
+++ b/pagate/answer.go
@@ -65,7 +65,7 @@
 	case x.mayHaveExecuted:
 		g.writeError(w, x, http.StatusBadGateway, string(c.Reason))
 	default:
-		g.refuse(w, x, string(c.Reason), c.RetryAfter)
+		g.refuseBusy(w, x, string(c.Reason), c.RetryAfter)
 	}
 }
 
@@ -78,7 +78,7 @@
 	case !x.mayHaveExecuted && room:
 		g.refuse(w, x, reasonAttemptsSpent, retryAfterShedWithRoom)
 	case !x.mayHaveExecuted:
-		g.refuse(w, x, reasonAttemptsSpent, retryAfterTargetsFull)
+		g.refuseBusy(w, x, reasonAttemptsSpent, retryAfterTargetsFull)
 	case r.outcome == pasteer.Abandoned && g.requestsCtx.Err() != nil:
 		g.writeError(w, x, http.StatusGatewayTimeout, reasonShuttingDown)
 	case r.outcome == pasteer.Abandoned:
@@ -92,6 +92,7 @@
 func (g *Gate) writeReply(w http.ResponseWriter, x *exchange, r attemptResult) {
 	p := r.reply
 	g.beginResponse(w, x, len(p.body))
+	g.noteReply(x, p.status)
 	h := w.Header()
 	for name, values := range p.header {
 		h[name] = values
@@ -119,7 +120,7 @@
 }
 
 // refuse responds 503 with a Retry-After to a request that was not executed. retryAfter is extended by
-// the jitter.
+// the jitter unless it is a booked place.
 func (g *Gate) refuse(w http.ResponseWriter, x *exchange, reason string, retryAfter time.Duration) {
 	g.refuseWithStatus(w, x, http.StatusServiceUnavailable, reason, retryAfter)
 }
@@ -130,7 +131,10 @@
 	g.markRelayed(w, x, relayReply{
 		Outcome: relayNotRun, Reason: reason, RetryMicroseconds: retryAfter.Microseconds(), Elsewhere: g.saidElsewhere(x, reason),
 	})
-	factor := 1 + retryAfterJitter*g.random()
+	factor := 1.0
+	if !x.booked {
+		factor += retryAfterJitter * g.random()
+	}
 	seconds := retryAfter.Seconds() * factor
 	w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
 	g.writeOwn(w, x, status, reason)
@@ -166,6 +170,9 @@
 		g.meter.relayedFor.Inc()
 	} else {
 		g.meter.countRequest(route, status, reason, elapsed, x.pipelineWait)
+		if x.returned {
+			g.meter.countReturned(status)
+		}
 	}
 	if reason == "" && status < http.StatusInternalServerError {
 		if !g.meter.sampleServed() {
--- a/pagate/forward.go
+++ b/pagate/forward.go
@@ -127,7 +127,7 @@
 func (x *exchange) balancerRequest() pasteer.Request {
 	return pasteer.Request{
 		Route: x.route, Service: x.service, Object: x.object, Tried: x.tried, Unreached: x.unreached, Deadline: x.deadline,
-		Regions: x.allowedRegions(), Avoid: x.avoid, Direct: x.direct,
+		Regions: x.allowedRegions(), Avoid: x.avoid, Direct: x.direct, Behind: x.behind,
 	}
 }
 
--- a/pagate/front.go
+++ b/pagate/front.go
@@ -66,7 +66,8 @@
 	fingerprint paquarantine.Fingerprint
 	// lane tracks the requests ahead on the client's connection; pipelineWait is how long the request, or its
 	// response, waited for them.
-	lane         *palane.Lane
+	lane *palane.Lane
+	returning
 	pipelineWait time.Duration
 }
 
@@ -114,14 +115,17 @@
 	if !g.admitPipelined(w, x) {
 		return
 	}
+	g.noteReturn(x)
 	if retryAfter, ok := g.quotas.admit(x, s); !ok {
-		g.refuseWithStatus(w, x, http.StatusTooManyRequests, reasonRateLimit, retryAfter)
+		g.refuseLimited(w, x, s, retryAfter)
 		return
 	}
+	g.noteAdmitted(x)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer context.AfterFunc(g.requestsCtx, cancel)()
 	x.service = g.pickService(x)
+	g.noteService(x)
 	g.forward(ctx, w, x)
 }
 
@@ -207,8 +211,9 @@
 func (g *Gate) deadlineOf(x *exchange, r *http.Request) time.Time {
 	timeout := x.route.Timeout
 	if ms, err := strconv.ParseFloat(r.Header.Get(g.config.Headers.Deadline), 64); err == nil && ms > 0 {
-		if d := time.Duration(ms * float64(time.Millisecond)); d < timeout || timeout <= 0 {
-			timeout = d
+		x.told = time.Duration(ms * float64(time.Millisecond))
+		if x.told < timeout || timeout <= 0 {
+			timeout = x.told
 		}
 	}
 	return x.arrived.Add(timeout)
--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -34,6 +34,7 @@
 	// limiter.
 	quotas  *rateShares
 	limiter *limiter
+	returns returns
 	conns   *connPool
 	// relayConns are the connections to relays; relayCancels ends what waits for a relay that is lost.
 	relayConns   *connPool
--- a/pagate/meter.go
+++ b/pagate/meter.go
@@ -70,6 +70,7 @@
 		defer g.balancerMutex.Unlock()
 		return float64(g.balancer.DrainingTargets())
 	})
+	m.exportReturns(g)
 	m.set.NewGauge("papayahead_gate_lost_services", func() float64 { return float64(len(g.lost())) })
 	for _, kind := range []string{deltaNothing, deltaChanges, deltaWhole} {
 		m.deltasSent(kind).Set(0)
--- a/pagate/rateshare.go
+++ b/pagate/rateshare.go
@@ -59,6 +59,8 @@
 	*paquota.Share
 	// waiters receive whether the request may run, in order of arrival.
 	waiters []chan bool
+	// returned is how many of them return as they were told; these come first.
+	returned int
 }
 
 func newRateShares(g *Gate) *rateShares {
@@ -100,7 +102,7 @@
 	l.mutex.Lock()
 	h := l.shareOf(w, s)
 	now := l.gate.uptime()
-	verdict := h.Decide(now, l.reachable(now))
+	verdict := l.decide(x, h, now)
 	if verdict == paquota.Refuse {
 		defer l.mutex.Unlock()
 		l.gate.meter.countLimited("Refused")
@@ -113,7 +115,7 @@
 		return 0, true
 	}
 	granted := make(chan bool, 1)
-	h.waiters = append(h.waiters, granted)
+	h.enqueue(granted, x.returned)
 	l.mutex.Unlock()
 	l.wake()
 	return l.awaitGrant(x, h, granted)
@@ -163,6 +165,9 @@
 	defer l.mutex.Unlock()
 	if i := slices.Index(h.waiters, granted); i >= 0 {
 		h.waiters = slices.Delete(h.waiters, i, i+1)
+		if i < h.returned {
+			h.returned--
+		}
 		h.CancelWait()
 		return false
 	}
@@ -290,5 +295,6 @@
 			c <- n < run
 		}
 		h.waiters = slices.Delete(h.waiters, 0, run+refused)
+		h.returned = max(0, h.returned-run-refused)
 	}
 }
--- /dev/null
+++ b/pagate/returning.go
@@ -0,0 +1,226 @@
+package pagate
+
+import (
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"papayahead/paquota"
+	"papayahead/pareturn"
+	"papayahead/pasteer"
+)
+
+// roomHold is how long before the time of a place at a service others leave room for it. tokenHold is how long before the time of a place its token is left in the share, and returnPatience how long a caller that
+// returns waits for the pool, which grants tokens now and then.
+const (
+	roomHold       = 100 * time.Millisecond
+	tokenHold      = 100 * time.Millisecond
+	returnPatience = limiterWait - 2*minCallInterval
+)
+
+// returns is when callers return that this entry VM refused.
+type returns struct {
+	mutex     sync.Mutex
+	schedule  pareturn.Schedule
+	deadlines pareturn.Deadlines
+}
+
+// returning is what is known of a request whose caller may have been refused before.
+type returning struct {
+	// contended says that the request's route has a contended service; the rest is not used otherwise.
+	contended bool
+	// told is the time that the caller has, by its own header; age is how long ago it first sent the request. returned says
+	// that it returns as one does that has a place.
+	told, age time.Duration
+	returned  bool
+	// behind is how long the service works for callers that return about now, before this one if it does not.
+	behind time.Duration
+	// booked says that the refused caller has a place.
+	booked bool
+}
+
+// noteReturn sets what is known of the request's earlier attempts.
+func (g *Gate) noteReturn(x *exchange) {
+	g.balancerMutex.Lock()
+	x.contended = g.balancer.ContendedRoute(x.route)
+	g.balancerMutex.Unlock()
+	if !x.contended || x.told <= 0 {
+		return
+	}
+	r := &g.returns
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	x.age = r.deadlines.Age(x.route.Name, x.told, g.uptime())
+	x.returned = pareturn.HadPlace(x.age, x.told)
+}
+
+// noteAdmitted counts a token of the request's workspace.
+func (g *Gate) noteAdmitted(x *exchange) {
+	if x.hasToken {
+		g.countFree(x, pareturn.Key{Name: x.workspaceName()})
+	}
+}
+
+// noteService claims a place at the request's service if the caller returns, and tells otherwise how much is booked there.
+func (g *Gate) noteService(x *exchange) {
+	if !x.contended {
+		return
+	}
+	k, now, r := pareturn.Key{Service: true, Name: x.service}, g.uptime(), &g.returns
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if x.returned {
+		r.schedule.Claim(k, x.priority(), roomHold, now)
+		return
+	}
+	x.behind = r.schedule.Behind(k, x.priority(), roomHold, now)
+}
+
+// noteReply counts an answer of the request's service.
+func (g *Gate) noteReply(x *exchange, status int) {
+	if status < http.StatusInternalServerError {
+		g.countFree(x, pareturn.Key{Service: true, Name: x.service})
+	}
+}
+
+func (g *Gate) countFree(x *exchange, k pareturn.Key) {
+	if !x.contended {
+		return
+	}
+	g.returns.mutex.Lock()
+	defer g.returns.mutex.Unlock()
+	g.returns.schedule.CountFree(k, g.uptime())
+}
+
+// refuseLimited responds 429 to a request of a workspace at its limit. The caller gets the time of a token.
+func (g *Gate) refuseLimited(w http.ResponseWriter, x *exchange, s *state, retryAfter time.Duration) {
+	if x.contended {
+		share, reachable := g.division(x.workspace, s).Share.Rate, g.quotas.limiterReachable()
+		retryAfter = g.book(x, pareturn.Key{Name: x.workspaceName()}, http.StatusTooManyRequests, retryAfter, func(measured float64) float64 {
+			if !reachable {
+				return share // What came before were tokens of the pool as well.
+			}
+			return min(x.workspace.Rate, max(measured, share))
+		})
+	}
+	g.refuseWithStatus(w, x, http.StatusTooManyRequests, reasonRateLimit, retryAfter)
+}
+
+// refuseBusy is refuse; if the request's service is contended and full, the caller gets the time at which room is expected.
+func (g *Gate) refuseBusy(w http.ResponseWriter, x *exchange, reason string, retryAfter time.Duration) {
+	if x.contended && (reason == string(pasteer.ReasonFull) || reason == reasonAttemptsSpent) {
+		k := pareturn.Key{Service: true, Name: x.service}
+		retryAfter = g.book(x, k, http.StatusServiceUnavailable, retryAfter, func(measured float64) float64 { return measured })
+	}
+	g.refuse(w, x, reason, retryAfter)
+}
+
+// book books a place for a refused caller and returns the time until then. rateOf returns what comes free in a second by what was
+// measured.
+func (g *Gate) book(x *exchange, k pareturn.Key, status int, earliest time.Duration, rateOf func(float64) float64) time.Duration {
+	now, passed := g.uptime(), g.config.Clock.Since(x.arrived)
+	r := &g.returns
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	c := r.schedule.Book(pareturn.Refused{
+		Key: k, Priority: x.priority(), Rate: rateOf(r.schedule.Rate(k, now)), Earliest: earliest,
+		Age: x.age + passed, Left: x.deadline.Sub(x.arrived) - passed,
+	}, now)
+	x.booked = c.Booked
+	kind := returnTold
+	if c.Booked {
+		kind = returnBooked
+	}
+	g.meter.returnsTold(status, pareturn.ClassOf(x.priority()), kind).Inc()
+	return c.After
+}
+
+// priority is the urgency of the request, 0 the most urgent: of its workspace if that has one, else of its route.
+func (x *exchange) priority() int {
+	if x.workspace != nil && x.workspace.Priority != nil {
+		return *x.workspace.Priority
+	}
+	return x.route.Priority
+}
+
+// decide decides on a request. In a contended deployment one that returns as it was told goes first, and others leave it the token
+// that was booked.
+func (l *rateShares) decide(x *exchange, h *rateShare, now time.Duration) paquota.Verdict {
+	reachable := l.reachable(now)
+	if !x.contended {
+		return h.Decide(now, reachable)
+	}
+	k, r := pareturn.Key{Name: x.workspace.Name}, &l.gate.returns
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if x.returned {
+		r.schedule.Claim(k, x.priority(), tokenHold, now)
+		return h.DecideReturn(now, reachable, returnPatience)
+	}
+	return h.DecideBehind(r.schedule.Held(k, tokenHold, now), now, reachable)
+}
+
+// limiterReachable is reachable without the mutex.
+func (l *rateShares) limiterReachable() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.reachable(l.gate.uptime())
+}
+
+// enqueue adds a request that waits for a token: those that return first.
+func (h *rateShare) enqueue(granted chan bool, returned bool) {
+	if !returned {
+		h.waiters = append(h.waiters, granted)
+		return
+	}
+	h.waiters = slices.Insert(h.waiters, h.returned, granted)
+	h.returned++
+}
+
+// returnsTold counts callers that were told when to return; returned counts requests that came as those with a place do.
+func (m *meter) returnsTold(status, class int, kind string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`papayahead_gate_returns_total{status="` + strconv.Itoa(status) + `",priority="` + strconv.Itoa(class) +
+		`",kind="` + kind + `"}`)
+}
+
+func (m *meter) returned(outcome string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`papayahead_gate_returned_total{outcome="` + outcome + `"}`)
+}
+
+// Labels of the metrics on callers that return.
+const (
+	returnBooked    = "Booked"
+	returnTold      = "Told"
+	returnAdmitted  = "Admitted"
+	returnedRefused = "Refused"
+)
+
+// exportReturns exports the metrics on callers that return.
+func (m *meter) exportReturns(g *Gate) {
+	for class := range pareturn.Classes {
+		for _, kind := range []string{returnBooked, returnTold} {
+			m.returnsTold(http.StatusTooManyRequests, class, kind).Set(0)
+			m.returnsTold(http.StatusServiceUnavailable, class, kind).Set(0)
+		}
+	}
+	m.returned(returnAdmitted).Set(0)
+	m.returned(returnedRefused).Set(0)
+	m.set.NewGauge("papayahead_gate_return_places", func() float64 {
+		g.returns.mutex.Lock()
+		defer g.returns.mutex.Unlock()
+		return float64(g.returns.schedule.Booked(g.uptime()))
+	})
+}
+
+// countReturned counts a request that returned as one does that has a place.
+func (m *meter) countReturned(status int) {
+	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
+		m.returned(returnedRefused).Inc()
+		return
+	}
+	m.returned(returnAdmitted).Inc()
+}
--- a/paquota/share.go
+++ b/paquota/share.go
@@ -61,9 +61,14 @@
 // Once the limiter replied that the pool is empty, all requests over the share are refused at once. Otherwise the excess of a
 // workspace that sends many times its limit would wait and call the limiter, and delay the requests of others.
 func (s *Share) Decide(now time.Duration, reachable bool) Verdict {
+	return s.DecideBehind(0, now, reachable)
+}
+
+// DecideBehind is Decide for a request that leaves a number of tokens to callers that were told to return about now.
+func (s *Share) DecideBehind(reserved int, now time.Duration, reachable bool) Verdict {
 	s.state.advance(now)
 	switch {
-	case s.waiting == 0 && s.state.take(1) == 1:
+	case s.waiting == 0 && (reserved == 0 || s.state.available() > reserved) && s.state.take(1) == 1:
 		return Admit
 	case reachable && now >= s.poolEmptyUntil:
 		s.waiting++
@@ -72,6 +77,17 @@
 	return Refuse
 }
 
+// DecideReturn is Decide for a request whose caller was told to return about now. It also waits while the pool is empty if that is
+// over within patience.
+func (s *Share) DecideReturn(now time.Duration, reachable bool, patience time.Duration) Verdict {
+	v := s.Decide(now, reachable)
+	if v == Refuse && reachable && s.poolEmptyUntil-now <= patience {
+		s.waiting++
+		return AskLimiter
+	}
+	return v
+}
+
 // CancelWait records that a request stopped waiting.
 func (s *Share) CancelWait() { s.waiting = max(0, s.waiting-1) }
 
--- /dev/null
+++ b/pareturn/schedule_test.go
@@ -0,0 +1,166 @@
+package pareturn
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+const testLeft = 3 * time.Second
+
+func refused(rate float64) Refused {
+	return Refused{Key: Key{Name: "w"}, Rate: rate, Earliest: 100 * time.Millisecond, Left: testLeft}
+}
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+// Guards against two callers with the same place, or one beyond what callers wait for.
+func TestPlacesFollowOneAfterTheOther(t *testing.T) {
+	var s Schedule
+	for i := range 9 {
+		if got, want := s.Book(refused(20), 0), (Return{ms(100 + 100*i), true}); got != want {
+			t.Fatalf("caller %d is told %v, want %v", i, got, want)
+		}
+	}
+	if got := s.Book(refused(20), 0); got.Booked || got.After != testLeft/honouredDivisor {
+		t.Errorf("the caller after the last place is told %v", got)
+	}
+	short := refused(20)
+	short.Left = ms(500)
+	if got := s.Book(short, 0); got.Booked || got.After != short.Left {
+		t.Errorf("a caller whose deadline is before any free place is told %v", got)
+	}
+}
+
+// Guards against callers that return long after a burst ended, and against places that stay booked.
+func TestABurstThatEndsLeavesNothingBooked(t *testing.T) {
+	var s Schedule
+	for range 100 {
+		s.Book(refused(20), 0)
+	}
+	if got, _ := s.due(Key{Name: "w"}, Classes, 0, ms(450)); got != 3 {
+		t.Errorf("%d places are due, want 3: one is over", got)
+	}
+	now := ms(1000) + placeTTL
+	if got, _ := s.due(Key{Name: "w"}, Classes, 0, now+ms(1)); got != 0 {
+		t.Errorf("%d places are still due after all of them were over", got)
+	}
+	if got := s.Book(refused(20), now); got != (Return{ms(100), true}) {
+		t.Errorf("the next caller is told %v", got)
+	}
+}
+
+// Guards against a caller that returns early, twice or never and costs others more than its place.
+func TestACallerCostsNoMoreThanItsPlace(t *testing.T) {
+	var s Schedule
+	k := Key{Name: "w"}
+	for range 3 {
+		s.Book(refused(20), 0)
+	}
+	s.Claim(k, 0, 0, ms(50)) // Early: nothing is due.
+	if got, _ := s.due(k, Classes, 0, ms(300)); got != 3 {
+		t.Errorf("%d places are due, want 3", got)
+	}
+	s.Claim(k, 0, 0, ms(300))
+	if got, _ := s.due(k, Classes, 0, ms(300)); got != 2 {
+		t.Errorf("%d places are due after one was claimed, want 2", got)
+	}
+}
+
+// Guards against places that are never free again after the clock stood, or was set back, and against a division by no time.
+func TestClockThatStandsOrIsSetBack(t *testing.T) {
+	var s Schedule
+	for range 1000 {
+		if got := s.Book(refused(500), time.Hour); got.After > testLeft {
+			t.Fatalf("a caller is told %v", got)
+		}
+	}
+	if got := s.Book(refused(500), 0); got != (Return{ms(100), true}) {
+		t.Errorf("after the clock was set back a caller is told %v", got)
+	}
+	var d Deadlines
+	d.Age("r", testLeft, time.Hour)
+	if got := d.Age("r", ms(100), 0); got != 0 {
+		t.Errorf("after the clock was set back a request counts as sent %v before", got)
+	}
+}
+
+// Guards against callers that return at the times of a rate which the configuration has lowered or raised since.
+func TestRateThatChangesWhilePlacesAreBooked(t *testing.T) {
+	var s Schedule
+	for range 4 {
+		s.Book(refused(40), 0) // Until 250 ms.
+	}
+	if got := s.Book(refused(10), 0); got != (Return{ms(800), true}) {
+		t.Errorf("at the lower rate the next caller is told %v: four places take 800 ms", got)
+	}
+	if got := s.Book(refused(200), 0); got != (Return{ms(810), true}) {
+		t.Errorf("at the higher rate the next caller is told %v", got)
+	}
+	if got := s.Book(refused(0), 0); got != (Return{After: ms(100)}) {
+		t.Errorf("at an unknown rate a caller is told %v", got)
+	}
+}
+
+// Guards against less urgent callers that return before more urgent ones, and against those that never return for them.
+func TestUrgentCallersReturnFirst(t *testing.T) {
+	var s Schedule
+	booked := [2]int{}
+	var last [2]time.Duration
+	for range 60 {
+		for class := range booked {
+			r := refused(40)
+			r.Priority = 2 * class
+			if got := s.Book(r, 0); got.Booked {
+				booked[class]++
+				last[class] = got.After
+			}
+		}
+	}
+	if booked[0] < 4*booked[1] || booked[1] == 0 {
+		t.Errorf("%d urgent and %d other callers have a place", booked[0], booked[1])
+	}
+	if behind := s.Behind(Key{Name: "w"}, 0, ms(50), ms(200)); behind != 0 {
+		t.Errorf("without a measured rate a request goes behind %v", behind)
+	}
+}
+
+// Guards against memory that grows with the names that callers send.
+func TestStateIsBounded(t *testing.T) {
+	var s Schedule
+	var d Deadlines
+	for i := range 3 * maxLines {
+		r := refused(1e6)
+		r.Key.Name = fmt.Sprint(i)
+		for range 2 {
+			s.Book(r, time.Duration(i))
+		}
+		s.CountFree(r.Key, time.Duration(i))
+		d.Age(r.Key.Name, testLeft, time.Duration(i))
+	}
+	if len(s.lines) > maxLines || len(s.rates) > maxLines || len(d.byRoute) > maxRoutes {
+		t.Errorf("%d lines, %d rates, %d routes", len(s.lines), len(s.rates), len(d.byRoute))
+	}
+	if s.lines[Key{Name: fmt.Sprint(3*maxLines - 1)}] == nil {
+		t.Error("the line that was used last is gone")
+	}
+	for range 2 * maxPlaces {
+		s.Book(refused(1e6), time.Second)
+	}
+	if n := len(s.lines[Key{Name: "w"}][0].places); n > maxPlaces {
+		t.Errorf("a line has %d places", n)
+	}
+}
+
+// Guards against a first attempt, or a return without a place, that takes the place of another caller.
+func TestReturnsAreToldByTheTimeLeft(t *testing.T) {
+	var d Deadlines
+	for _, c := range []struct {
+		told time.Duration
+		want bool
+	}{{testLeft, false}, {testLeft - ms(20), false}, {testLeft - ms(100), true}, {testLeft - ms(910), true}, {testLeft * 2 / 3, false}} {
+		if got := HadPlace(d.Age("r", c.told, 0), c.told); got != c.want {
+			t.Errorf("a caller with %v left returns: %v", c.told, got)
+		}
+	}
+}
--- a/pasteer/choose.go
+++ b/pasteer/choose.go
@@ -29,6 +29,9 @@
 	Avoid []string
 	// Deadline is when the caller no longer accepts an answer.
 	Deadline time.Time
+	// Behind is how long the service works for callers that were told to return about now; the request goes behind them if it has to
+	// wait.
+	Behind time.Duration
 	// Direct is set if no other entry VM may take the request.
 	Direct bool
 
