pabuffer, pagate, palane: bodies held for slow readers and writers share a budget

Each body could be held up to 256 KB with no bound over the process, and nothing bounded how long a client may leave a response unread. With contended services and a known memory limit bodies share an eighth of it; then responses are passed on as they come and bodies are refused with 503, less urgent first; a connection is closed 2 s after the deadline of a response it does not read.

--- /dev/null
+++ b/pabuffer/hold.go
@@ -0,0 +1,67 @@
+package pabuffer
+
+import (
+	"errors"
+	"io"
+)
+
+// ErrUsedUp says that the budget has no room for the rest of a body.
+var ErrUsedUp = errors.New("budget for held bodies is used up")
+
+// minBuffer is the size of the first buffer for a body.
+const minBuffer = 4 << 10
+
+// Hold is what the bodies of one request hold. It is not safe for concurrent use.
+type Hold struct {
+	// Budget is where the bytes come from, Priority the urgency of the request, 0 the most urgent.
+	Budget   *Budget
+	Priority int
+	bytes    int64
+}
+
+// Read reads a body of up to most bytes, or one byte more if it is longer. It takes each buffer before it is made. If the budget is
+// used up, it returns what was read by then and ErrUsedUp; the reader continues after that.
+func (h *Hold) Read(r io.Reader, most int) ([]byte, error) {
+	var b []byte
+	for {
+		if len(b) == cap(b) {
+			if len(b) > most {
+				return b, nil
+			}
+			size := min(max(minBuffer, 2*cap(b)), most+1)
+			if !h.take(size) {
+				return b, ErrUsedUp
+			}
+			grown := make([]byte, len(b), size)
+			copy(grown, b)
+			h.give(cap(b))
+			b = grown
+		}
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		if errors.Is(err, io.EOF) {
+			return b, nil
+		}
+		if err != nil {
+			return b, err
+		}
+	}
+}
+
+// Release returns what the bodies held; they must not be used afterwards.
+func (h *Hold) Release() {
+	h.give(int(h.bytes))
+}
+
+func (h *Hold) take(n int) bool {
+	if !h.Budget.take(int64(n), h.Priority) {
+		return false
+	}
+	h.bytes += int64(n)
+	return true
+}
+
+func (h *Hold) give(n int) {
+	h.bytes -= int64(n)
+	h.Budget.held.Add(-int64(n))
+}
--- a/pagate/answer.go
+++ b/pagate/answer.go
@@ -1,7 +1,6 @@
 package pagate
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -34,6 +33,7 @@
 	reasonBadRelayCall   = "RelayCallUnreadable"
 	reasonEndsTargets    = "EndsTargets"
 	reasonSuspected      = "Suspected"
+	reasonBuffersFull    = "BuffersFull"
 
 	reasonUnknownWorkspace = "WorkspaceUnknown"
 )
@@ -103,10 +103,11 @@
 		h.Set("Content-Length", strconv.FormatInt(p.length, 10))
 	}
 	g.markRelayed(w, x, relayReply{Outcome: relayAnswered})
+	defer g.boundUnread(x)()
 	w.WriteHeader(p.status)
 	_, err := w.Write(p.body)
 	if p.rest != nil && err == nil {
-		_, err = io.Copy(w, p.rest)
+		err = g.copyRest(w, p.rest)
 		p.done(err == nil)
 		if p.onEnd != nil && (err == nil || p.rest.failed) {
 			p.onEnd(err == nil)
--- a/pagate/front.go
+++ b/pagate/front.go
@@ -5,10 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"papayahead/pabuffer"
 	"papayahead/paheader"
 	"papayahead/palane"
 	"papayahead/paquarantine"
@@ -68,6 +70,8 @@
 	// response, waited for them.
 	lane *palane.Lane
 	returning
+	// hold is what the bodies of the request and of its responses hold in memory.
+	hold         pabuffer.Hold
 	pipelineWait time.Duration
 }
 
@@ -79,6 +83,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	x := g.newExchange(r)
+	defer x.hold.Release()
 	s := g.awaitConfig(r.Context())
 	if s.table == nil {
 		g.refuse(w, x, reasonNoConfig, retryAfterNoConfig)
@@ -97,9 +102,9 @@
 		g.writeError(w, x, http.StatusRequestHeaderFieldsTooLarge, reasonHeaderTooLarge)
 		return
 	}
-	if status, reason := g.readBody(x, r, s.table.Config.Limits); status != 0 {
+	if status, reason := g.readClientBody(w, x, r, s.table.Config.Limits); status != 0 {
 		g.discardBody(w, r)
-		g.writeError(w, x, status, reason)
+		g.refuseBody(w, x, status, reason)
 		return
 	}
 	x.deadline = g.deadlineOf(x, r)
@@ -134,7 +139,7 @@
 	x := &exchange{
 		id: r.Header.Get(g.config.Headers.RequestID), method: r.Method, uri: r.RequestURI, host: r.Host,
 		header: paheader.EndToEnd(r.Header), size: r.ContentLength, arrived: g.config.Clock.Now(),
-		clientCtx: r.Context(), lane: palane.FromContext(r.Context()),
+		clientCtx: r.Context(), lane: palane.FromContext(r.Context()), hold: pabuffer.Hold{Budget: &g.buffers},
 	}
 	x.header.Del(relayHeader)
 	if c, err := r.Cookie(g.config.Headers.ObjectCookie); err == nil {
@@ -175,9 +180,14 @@
 	if l.MaxBody > 0 {
 		body = http.MaxBytesReader(nil, r.Body, l.MaxBody)
 	}
-	buffered, err := io.ReadAll(io.LimitReader(body, maxBuffered+1))
+	x.hold.Priority = x.priority()
+	buffered, err := g.hold(x, body)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, pabuffer.ErrUsedUp):
+		return http.StatusServiceUnavailable, reasonBuffersFull
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout, reasonDeadline
 	case errors.As(err, &tooLarge):
 		return http.StatusRequestEntityTooLarge, reasonTooLarge
 	case err != nil:
--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -12,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 
+	"papayahead/pabuffer"
 	"papayahead/paclock"
 	"papayahead/paevent"
 	"papayahead/pafleet"
@@ -35,6 +36,8 @@
 	quotas  *rateShares
 	limiter *limiter
 	returns returns
+	// buffers bounds what is held of requests' and responses' bodies; it has no bound unless services are contended.
+	buffers pabuffer.Budget
 	conns   *connPool
 	// relayConns are the connections to relays; relayCancels ends what waits for a relay that is lost.
 	relayConns   *connPool
@@ -113,6 +116,9 @@
 			Contended: s.Contended, Off: c.Off,
 		}),
 	}
+	if s.Contended {
+		g.buffers.SetMemory(s.MemoryMB)
+	}
 	g.requestsCtx, g.cancelRequests = context.WithCancel(context.Background())
 	g.startUptime = g.uptime()
 	g.self.BornUp = g.startUptime.Milliseconds()
--- a/pagate/meter.go
+++ b/pagate/meter.go
@@ -71,6 +71,7 @@
 		return float64(g.balancer.DrainingTargets())
 	})
 	m.exportReturns(g)
+	m.set.NewGauge("papayahead_gate_held_body_bytes", func() float64 { return float64(g.buffers.Held()) })
 	m.set.NewGauge("papayahead_gate_lost_services", func() float64 { return float64(len(g.lost())) })
 	for _, kind := range []string{deltaNothing, deltaChanges, deltaWhole} {
 		m.deltasSent(kind).Set(0)
--- a/pagate/relayed.go
+++ b/pagate/relayed.go
@@ -34,6 +34,7 @@
 	g.relayedInFlight.Add(1)
 	defer g.relayedInFlight.Add(-1)
 	x := g.newExchange(r)
+	defer x.hold.Release()
 	x.direct = true
 	x.relayed = &relayCall{}
 	if err := json.Unmarshal([]byte(r.Header.Get(relayHeader)), x.relayed); err != nil {
--- a/pagate/response.go
+++ b/pagate/response.go
@@ -11,6 +11,7 @@
 
 	"github.com/gravitational/trace"
 
+	"papayahead/pabuffer"
 	"papayahead/paheader"
 	"papayahead/pasteer"
 )
@@ -72,13 +73,14 @@
 
 // readBody reads the body of a response that is passed on, and adds both to the outcome.
 func (a *attempt) readBody(ctx context.Context, response *http.Response, r attemptResult) attemptResult {
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBuffered+1))
-	if err != nil {
+	body, err := a.gate.hold(a.x, response.Body)
+	usedUp := errors.Is(err, pabuffer.ErrUsedUp)
+	if err != nil && !usedUp {
 		return a.fail(ctx, trace.Wrap(err))
 	}
 	p := &reply{status: response.StatusCode, header: paheader.EndToEnd(response.Header), body: body, length: response.ContentLength}
 	r.reply = p
-	if len(body) <= maxBuffered {
+	if len(body) <= maxBuffered && !usedUp {
 		a.releaseConn(response, true)
 		return r
 	}
--- a/palane/lane.go
+++ b/palane/lane.go
@@ -169,6 +169,15 @@
 	return nil
 }
 
+// Abort closes the client connection, also while a response is being written to it.
+func (l *Lane) Abort() {
+	if l == nil {
+		return
+	}
+	l.conn.disconnect()
+	l.conn.raw.Close()
+}
+
 // CloseWrite closes the lane. The connection itself keeps reading for lingerTimeout.
 func (l *Lane) CloseWrite() error { return l.Close() }
 
