pareturn: callers that return are told by the deadlines of first attempts

An entry VM now learns where first attempts lie while it refuses nobody, and books places only at times at which the return is known by its time left.

--- a/pagate/returning.go
+++ b/pagate/returning.go
@@ -33,10 +33,9 @@
 type returning struct {
 	// contended says that the request's route has a contended service; the rest is not used otherwise.
 	contended bool
-	// told is the time that the caller has, by its own header; age is how long ago it first sent the request. returned says
-	// that it returns as one does that has a place.
-	told, age time.Duration
-	returned  bool
+	// told is the time that the caller has, by its own header. returned says that it returns as one does that has a place.
+	told     time.Duration
+	returned bool
 	// behind is how long the service works for callers that return about now, before this one if it does not.
 	behind time.Duration
 	// booked says that the refused caller has a place.
@@ -54,8 +53,8 @@
 	r := &g.returns
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	x.age = r.deadlines.Age(x.route.Name, x.told, g.uptime())
-	x.returned = pareturn.HadPlace(x.age, x.told)
+	r.deadlines.Note(x.route.Name, x.told, g.uptime())
+	x.returned = r.deadlines.HadPlace(x.route.Name, x.told)
 }
 
 // noteAdmitted counts a token of the request's workspace.
@@ -126,9 +125,12 @@
 	r := &g.returns
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
+	left := x.deadline.Sub(x.arrived) - passed
+	from, to := r.deadlines.Window(x.route.Name, max(left, x.told-passed))
+	r.deadlines.NoteRefused(x.route.Name, now)
 	c := r.schedule.Book(pareturn.Refused{
 		Key: k, Priority: x.priority(), Rate: rateOf(r.schedule.Rate(k, now)), Earliest: earliest,
-		Age: x.age + passed, Left: x.deadline.Sub(x.arrived) - passed,
+		Left: left, From: from, To: to,
 	}, now)
 	x.booked = c.Booked
 	kind := returnTold
--- a/pareturn/deadline.go
+++ b/pareturn/deadline.go
@@ -1,50 +1,97 @@
 package pareturn
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// honouredDivisor is the divisor of the time left that yields the longest time for which a caller waits.
 	honouredDivisor = 3
-	// bookedFraction is the part of its whole time at which a caller with a place returns at the latest, returnedFraction that
-	// at which it counts as one with a place. Callers without one return at a third or later.
-	bookedFraction, returnedFraction = 0.3, 0.32
-	// minReturnAge is the least age of a request that was sent before; others are delayed by their connection.
-	minReturnAge = 60 * time.Millisecond
-	// maxRoutes bounds the routes with a known deadline.
+	// placeFraction is the part of that up to which a place may lie ahead: the rest is for the way.
+	placeFraction = 0.9
+	// wayTime is what a caller's new connection and its request may take.
+	wayTime = 100 * time.Millisecond
+	// latestReturn is the part of the longest deadline that a caller with a place still has when it returns. One without a place
+	// waits for a third of its time, and has less.
+	latestReturn = 0.68
+	// samples is how many deadlines of first attempts are kept for a route, minSamples how many tell where they lie.
+	samples, minSamples = 64, 16
+	// maxRoutes bounds the routes with known deadlines.
 	maxRoutes = 512
-	// deadlineTTL is how long a longest deadline counts after it was last told.
-	deadlineTTL = 30 * time.Second
 )
 
-// longestKept returns how far ahead the place of a caller may lie.
-func longestKept(age, left time.Duration) time.Duration {
-	return time.Duration(bookedFraction*float64(age+left)) - age
+// Deadlines are the deadlines that callers of each route tell at their first attempt. Each attempt has an ID of its own and comes to
+// any entry VM, but with less time than the attempt before: one that has less than any first attempt returns. The zero value is ready
+// for use.
+type Deadlines struct{ byRoute map[string]*routeDeadlines }
+
+type routeDeadlines struct {
+	told []time.Duration
+	next int
+	// shortest and longest are those of told, without the shortest one, which may be a return.
+	shortest, longest time.Duration
+	// refusedAt is when a caller was refused last.
+	refused   bool
+	refusedAt time.Duration
 }
 
-// Deadlines are the longest times that callers of each route have told lately. A caller sends each attempt with an ID of its own,
-// to any entry VM, but with less time than the attempt before. The zero value is ready for use.
-type Deadlines struct{ byRoute map[string]longest }
+// Note records the time that a caller has. While callers are refused nothing is learned from it, as it may return.
+func (d *Deadlines) Note(route string, told, now time.Duration) {
+	r := d.of(route)
+	if r.refused && now >= r.refusedAt && now-r.refusedAt <= max(r.longest, told) {
+		return
+	}
+	r.refused = false
+	if len(r.told) < samples {
+		r.told = append(r.told, told)
+	} else {
+		r.told[r.next] = told
+	}
+	r.next = (r.next + 1) % samples
+	sorted := slices.Sorted(slices.Values(r.told))
+	r.shortest, r.longest = sorted[min(1, len(sorted)-1)], sorted[len(sorted)-1]
+}
 
-type longest struct{ told, at time.Duration }
+// NoteRefused records that a caller of the route is refused.
+func (d *Deadlines) NoteRefused(route string, now time.Duration) {
+	r := d.of(route)
+	r.refused, r.refusedAt = true, now
+}
 
-// Age records the time that a caller of a route has, and returns how long ago it first sent the request: 0 if it seems new.
-func (d *Deadlines) Age(route string, told, now time.Duration) time.Duration {
-	l, known := d.byRoute[route]
-	if told >= l.told || now-l.at > deadlineTTL || now < l.at {
-		if d.byRoute == nil || !known && len(d.byRoute) >= maxRoutes {
-			d.byRoute = map[string]longest{}
-		}
-		d.byRoute[route] = longest{told, now}
-		return 0
-	}
-	if age := l.told - told; age >= minReturnAge {
-		return age
+// HadPlace reports whether a caller with the given time left returns as one does that has a place.
+func (d *Deadlines) HadPlace(route string, left time.Duration) bool {
+	r := d.byRoute[route]
+	return r.known() && left < r.shortest && left > r.latest()
+}
+
+// Window returns between which times a caller with the given time left may have a place: it waits that long, and is known when it
+// returns. If the deadlines of the route are not known, or too different, no caller is known by its time left.
+func (d *Deadlines) Window(route string, left time.Duration) (from, to time.Duration) {
+	to = time.Duration(placeFraction * float64(left/honouredDivisor))
+	if r := d.byRoute[route]; r.known() {
+		from, to = max(0, left-r.shortest), min(to, left-r.latest()-wayTime)
 	}
-	return 0
+	return from, to
+}
+
+func (r *routeDeadlines) known() bool {
+	return r != nil && len(r.told) >= minSamples && r.latest()+wayTime < r.shortest
 }
 
-// HadPlace reports whether a caller that first sent its request the given time ago, and has the given time left, returns as one does
-// that has a place.
-func HadPlace(age, left time.Duration) bool {
-	return age > 0 && float64(age) <= returnedFraction*float64(age+left)
+// latest returns the least time that a caller with a place has when it returns.
+func (r *routeDeadlines) latest() time.Duration {
+	return time.Duration(latestReturn * float64(r.longest))
+}
+
+func (d *Deadlines) of(route string) *routeDeadlines {
+	r := d.byRoute[route]
+	if r == nil {
+		if d.byRoute == nil || len(d.byRoute) >= maxRoutes {
+			d.byRoute = map[string]*routeDeadlines{}
+		}
+		r = &routeDeadlines{}
+		d.byRoute[route] = r
+	}
+	return r
 }
--- a/pareturn/schedule.go
+++ b/pareturn/schedule.go
@@ -34,8 +34,8 @@
 	Rate float64
 	// Earliest is the time until the first may be free.
 	Earliest time.Duration
-	// Age is the time since the caller first sent the request; Left is the time that it still has.
-	Age, Left time.Duration
+	// Left is the time that the caller still has; From and To are between which times it may have a place; see Deadlines.Window.
+	Left, From, To time.Duration
 }
 
 // Return is when a caller is told to return.
@@ -67,9 +67,9 @@
 	all := s.linesOf(r.Key, now)
 	class := ClassOf(r.Priority)
 	interval := time.Duration(float64(time.Second) / (r.Rate * returnShare * classShare(all, class, now)))
-	at := all[class].next(now, now+max(0, r.Earliest), interval)
+	at := all[class].next(now, now+max(0, r.Earliest, r.From), interval)
 	switch {
-	case at-now <= min(honoured, longestKept(r.Age, r.Left)) && all[class].book(at):
+	case at-now <= min(honoured, r.To) && all[class].book(at):
 		return Return{After: at - now, Booked: true}
 	case at-now >= r.Left:
 		return Return{After: max(0, r.Left)}
