--- a/pagate/front.go
+++ b/pagate/front.go
@@ -5,10 +5,12 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
 
+	"papayahead/pabuffer"
 	"papayahead/paheader"
 	"papayahead/palane"
 	"papayahead/paquarantine"
@@ -69,7 +71,10 @@
 	fingerprint paquarantine.Fingerprint
 	// lane tracks the requests ahead on the client's connection; pipelineWait is how long the request, or its
 	// response, waited for them.
-	lane         *palane.Lane
+	lane *palane.Lane
+	returning
+	// hold is what the bodies of the request and of its responses hold in memory.
+	hold         pabuffer.Hold
 	pipelineWait time.Duration
 }
 
@@ -81,6 +86,7 @@
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	x := g.newExchange(r)
+	defer x.hold.Release()
 	s := g.awaitConfig(r.Context())
 	if s.table == nil {
 		g.refuse(w, x, reasonNoConfig, retryAfterNoConfig)
@@ -99,9 +105,9 @@
 		g.writeError(w, x, http.StatusRequestHeaderFieldsTooLarge, reasonHeaderTooLarge)
 		return
 	}
-	if status, reason := g.readBody(x, r, s.table.Config.Limits); status != 0 {
+	if status, reason := g.readClientBody(w, x, r, s.table.Config.Limits); status != 0 {
 		g.discardBody(w, r)
-		g.writeError(w, x, status, reason)
+		g.refuseBody(w, x, status, reason)
 		return
 	}
 	x.deadline = g.deadlineOf(x, r)
@@ -117,14 +123,17 @@
 	if !g.admitPipelined(w, x) {
 		return
 	}
+	g.noteReturn(x)
 	if retryAfter, ok := g.quotas.admit(x, s); !ok {
-		g.refuseWithStatus(w, x, http.StatusTooManyRequests, reasonRateLimit, retryAfter)
+		g.refuseLimited(w, x, s, retryAfter)
 		return
 	}
+	g.noteAdmitted(x)
 	ctx, cancel := context.WithCancel(r.Context())
 	defer cancel()
 	defer context.AfterFunc(g.requestsCtx, cancel)()
 	x.service = g.pickService(x)
+	g.noteService(x)
 	g.forward(ctx, w, x)
 }
 
@@ -133,7 +142,7 @@
 	x := &exchange{
 		id: r.Header.Get(g.config.Headers.RequestID), method: r.Method, uri: r.RequestURI, host: r.Host,
 		header: paheader.EndToEnd(r.Header), size: r.ContentLength, arrived: g.config.Clock.Now(),
-		clientCtx: r.Context(), lane: palane.FromContext(r.Context()),
+		clientCtx: r.Context(), lane: palane.FromContext(r.Context()), hold: pabuffer.Hold{Budget: &g.buffers},
 	}
 	x.header.Del(relayHeader)
 	if c, err := r.Cookie(g.config.Headers.ObjectCookie); err == nil {
@@ -174,9 +183,14 @@
 	if l.MaxBody > 0 {
 		body = http.MaxBytesReader(nil, r.Body, l.MaxBody)
 	}
-	buffered, err := io.ReadAll(io.LimitReader(body, maxBuffered+1))
+	x.hold.Priority = x.priority()
+	buffered, err := g.hold(x, body)
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, pabuffer.ErrUsedUp):
+		return http.StatusServiceUnavailable, reasonBuffersFull
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout, reasonDeadline
 	case errors.As(err, &tooLarge):
 		return http.StatusRequestEntityTooLarge, reasonTooLarge
 	case err != nil:
@@ -210,8 +224,9 @@
 func (g *Gate) deadlineOf(x *exchange, r *http.Request) time.Time {
 	timeout := x.route.Timeout
 	if ms, err := strconv.ParseFloat(r.Header.Get(g.config.Headers.Deadline), 64); err == nil && ms > 0 {
-		if d := time.Duration(ms * float64(time.Millisecond)); d < timeout || timeout <= 0 {
-			timeout = d
+		x.told = time.Duration(ms * float64(time.Millisecond))
+		if x.told < timeout || timeout <= 0 {
+			timeout = x.told
 		}
 	}
 	return x.arrived.Add(timeout)
