paload, pasteer, pagate: loads of targets are known across machines and decay with age

Cause: at a contended service each entry VM hears of a given target every few seconds, and a report counts for 500 ms; half of the choices know nothing, neighbours are told nothing, and a reported slowness is not used. Change: paload believes in a load that decays in about the time of the target's queue towards the usual one, and in a slowness that is forgotten as fast as it changes; entry VMs of a region tell each other what changes decisions, 250 notes of 8 bytes a second at most, pulled in Sync. target.load, the standing queue and estimate use it for contended services only; no message changes elsewhere.

--- a/pagate/meter.go
+++ b/pagate/meter.go
@@ -29,6 +29,8 @@
 	relayedFor      *metrics.Counter
 	targetEnds      *metrics.Counter
 	pushbacks       *metrics.Counter
+	// loadNotesSent and loadNotesReceived count notes on loads of targets in messages to and from neighbours.
+	loadNotesSent, loadNotesReceived *metrics.Counter
 	// operatorFetchErrors counts failed calls to neighbours for what operators wrote.
 	operatorFetchErrors *metrics.Counter
 	served              atomic.Uint64
@@ -46,6 +48,9 @@
 	m.relayedFor = m.set.NewCounter("papayahead_gate_relayed_for_others_total")
 	m.targetEnds = m.set.NewCounter("papayahead_gate_target_ends_total")
 	m.pushbacks = m.set.NewCounter("papayahead_gate_pushbacks_total")
+	m.loadNotesSent = m.set.NewCounter("papayahead_gate_load_notes_sent_total")
+	m.loadNotesReceived = m.set.NewCounter("papayahead_gate_load_notes_received_total")
+	m.exportLoadAccuracy(g)
 	m.operatorFetchErrors = m.set.NewCounter("papayahead_gate_operator_fetch_errors_total")
 	m.set.NewGauge("papayahead_gate_suspected_requests", func() float64 {
 		suspects, _ := g.quarantine.Counts(g.config.Clock.Now())
--- a/pagate/peerconn.go
+++ b/pagate/peerconn.go
@@ -21,6 +21,8 @@
 	// ends, limits and pushbacks are how far both have told each other their findings on ended targets, and their notes on limits and
 	// on pushbacks.
 	ends, limits, pushbacks notePosition
+	// lastLoad is the last of the neighbour's notes on loads received.
+	lastLoad uint64
 }
 
 // connLock lets one call at a time have a connection. Waiting for it ends with a context.
--- a/pagate/peers.go
+++ b/pagate/peers.go
@@ -40,7 +40,9 @@
 	limitBudget tokenBucket
 	// pushbackBudget bounds the notes on pushbacks sent to neighbours.
 	pushbackBudget tokenBucket
-	woken          chan struct{}
+	// loadBudget bounds the notes on loads of targets sent to neighbours.
+	loadBudget tokenBucket
+	woken      chan struct{}
 	// fullSyncRunning says that a neighbour is being asked for its whole state, for want of history.
 	fullSyncRunning atomic.Bool
 	// operatorFetching says that a neighbour is being asked for what operators wrote.
@@ -68,6 +70,7 @@
 		endBudget:   tokenBucket{rate: endsPerSecond, burst: maxEndBurst},
 		limitBudget: tokenBucket{rate: limitsPerSecond, burst: maxLimitBurst}, woken: make(chan struct{}, 1),
 		pushbackBudget: tokenBucket{rate: pushbacksPerSecond, burst: maxPushbackBurst},
+		loadBudget:     tokenBucket{rate: loadsPerSecond, burst: maxLoadBurst},
 	}
 }
 
--- a/pagate/sync.go
+++ b/pagate/sync.go
@@ -102,6 +102,7 @@
 	if !wantChanges {
 		q.Revision = noChangesRevision
 	}
+	p.wantLoads(q, c, e)
 	if c.entry.Name == "" {
 		q.Entry = p.ownEntryJSON()
 	}
@@ -140,6 +141,7 @@
 	p.receiveLimits(r.GetLimits())
 	p.receivePushbacks(r.GetPushbacks())
 	c.ends.received, c.limits.received, c.pushbacks.received = r.GetEndsLast(), r.GetLimitsLast(), r.GetPushbacksLast()
+	p.receiveLoads(c, r)
 	if r.GetNoHistory() {
 		return
 	}
@@ -186,6 +188,9 @@
 	if q.GetWarmWanted() {
 		r.Warm, r.WarmLast = p.notesAfter(q.GetWarmAfter())
 	}
+	if q.GetLoadsWanted() {
+		r.Loads, r.LoadsLast = p.loadsAfter(q.GetLoadsAfter(), q.GetLoadsRelayed())
+	}
 	if uint64(s.revision) <= q.GetRevision() {
 		return r, nil
 	}
--- a/pasteer/admit.go
+++ b/pasteer/admit.go
@@ -37,7 +37,7 @@
 // missesTargetLatency reports whether the request would wait in the target's queue and be answered after its target latency.
 func (b *Balancer) missesTargetLatency(t *target, q Request, c Choice, now time.Time) bool {
 	load := float64(t.inFlight) + t.queuedOtherLoad(now, c.wait > 0)
-	wait := max(0, (load+1-t.slots())/t.slots()) * float64(b.expectedRun(q, true))
+	wait := max(0, (load+1-t.slots())/t.slots()) * float64(scaled(b.expectedRun(q, true), t.slowness(now)))
 	if wait <= 0 {
 		return false
 	}
@@ -47,6 +47,9 @@
 // queuedOtherLoad estimates how many requests of other entry VMs are at a target with a standing queue. Where the choice
 // knows of no wait, the last load report is old and the reported load is taken to decrease linearly.
 func (t *target) queuedOtherLoad(now time.Time, waitKnown bool) float64 {
+	if m := t.loadModel(); m != nil {
+		return t.belief.Known(m, t.slots(), now)
+	}
 	age := now.Sub(t.otherLoadAt)
 	switch {
 	case age > standingLoadTTL:
--- a/pasteer/balancer.go
+++ b/pasteer/balancer.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"papayahead/pafleet"
+	"papayahead/paload"
 	"papayahead/paroute"
 )
 
@@ -73,6 +74,11 @@
 	// hints are the latest notes on pushbacks, hintSeq the number of the last one.
 	hints   map[lifetime]hint
 	hintSeq uint64
+	// loadLog are the notes on the loads of targets, loadKeys the targets by the keys in them; nil for a key that two have.
+	loadLog  paload.Log
+	loadKeys map[uint32]*target
+	// loadAccuracy sums how wrong believed loads were.
+	loadAccuracy paload.Accuracy
 	// drainings are the lifetimes of targets that said in a response that they are shutting down, and when.
 	drainings map[lifetime]time.Time
 	// peers are the other entry VMs that may take requests; relayStates is what is known of them from those they took.
@@ -107,6 +113,8 @@
 	suspectedAt time.Time
 	// tellsSlowness is set once a target reported how slow work is there.
 	tellsSlowness bool
+	// loads is what the targets' loads have in common; nil unless the service is contended.
+	loads *paload.Model
 }
 
 // target is the state of a target from its start to its end; a restart under the same ID makes a new one.
@@ -130,6 +138,13 @@
 	// otherLoad is the number of requests that other entry VMs had at the target at otherLoadAt.
 	otherLoad   float64
 	otherLoadAt time.Time
+	// service is the target's service, belief what is believed of the load and slowness if that is contended. lastStart is when
+	// the latest request was sent.
+	service   *service
+	belief    paload.Belief
+	lastStart time.Time
+	// loadKey identifies the target's lifetime in notes on loads.
+	loadKey uint32
 	// fullSince is when the target was first seen without a free slot; zero while it has one.
 	fullSince time.Time
 	// failures counts connections that were refused or lost since the last complete response; no request is sent
@@ -171,7 +186,7 @@
 		splits: map[string]*paroute.Splitter{}, runTimes: map[string]*runTimes{}, used: map[string]bool{},
 		warmTargets: map[uint64][]*target{}, entryCount: 1, coldShares: map[string]coldShare{},
 		relayStates: map[string]*relayState{}, pushbacks: map[lifetime]*pushback{}, drainings: map[lifetime]time.Time{},
-		hints: map[lifetime]hint{},
+		hints: map[lifetime]hint{}, loadKeys: map[uint32]*target{},
 	}
 }
 
--- a/pasteer/outcome.go
+++ b/pasteer/outcome.go
@@ -95,6 +95,7 @@
 		return
 	}
 	t.inFlight++
+	t.lastStart = now
 	t.used, b.used[t.state.Service] = true, true
 	if t.unresponsiveAt.IsZero() {
 		t.unresponsiveAt = now.Add(max(minUnresponsive, c.wait+unresponsiveRuns*b.expectedRun(q, false)))
@@ -116,7 +117,7 @@
 // requests of this entry VM are outstanding.
 func (t *target) updateFullSince(now time.Time) {
 	switch {
-	case t.load(now) < t.slots() && (t.inFlight == 0 || now.Sub(t.otherLoadAt) <= otherLoadTTL):
+	case t.load(now) < t.slots() && (t.inFlight == 0 || t.isLoadFresh(now)):
 		t.fullSince = time.Time{}
 	case t.fullSince.IsZero():
 		t.fullSince = now
@@ -151,9 +152,7 @@
 	if r.LoadKnown {
 		t.otherLoad, t.otherLoadAt = max(0, float64(r.Running+r.Waiting-t.inFlight-1)), now
 	}
-	if svc := b.services[t.state.Service]; svc != nil && r.Slowness > 0 {
-		svc.tellsSlowness = true
-	}
+	b.observeLoad(t, r, now)
 	if r.Outcome <= Moved {
 		// The target responded: restart the timer for the requests that are still outstanding.
 		t.unresponsiveAt, t.path.reachedAt = time.Time{}, now
@@ -200,6 +199,7 @@
 			return
 		}
 		t.otherLoad, t.otherLoadAt = max(t.otherLoad, 2*t.slots()), now
+		b.learnLoad(t, now)
 	case Moved:
 		t.backoffUntil = now.Add(movedBackoff)
 	case Lost:
--- a/pasteer/pick.go
+++ b/pasteer/pick.go
@@ -110,9 +110,10 @@
 	if t.errors.at(now) > maxErrorRate && !b.Config.Off.GreyTargets {
 		e.load += errorRatePenalty
 	}
-	warmRun := b.expectedRun(q, true)
+	slowness := t.slowness(now)
+	warmRun := scaled(b.expectedRun(q, true), slowness)
 	e.wait = time.Duration(max(0, (e.load*t.slots()+1-t.slots())/t.slots()) * float64(warmRun))
-	run := b.expectedRun(q, warm)
+	run := scaled(b.expectedRun(q, warm), slowness)
 	e.finish = roundTripTime[t.distance] + e.wait + run
 	e.cost = e.finish + time.Duration(coldCostWeight*float64(run-warmRun))
 	return e
@@ -138,6 +139,9 @@
 
 // load estimates the number of requests at the target, of this and of other entry VMs.
 func (t *target) load(now time.Time) float64 {
+	if m := t.loadModel(); m != nil {
+		return float64(t.inFlight) + t.belief.Others(m, t.slots(), now)
+	}
 	if now.Sub(t.otherLoadAt) > otherLoadTTL {
 		return float64(t.inFlight)
 	}
--- a/pasteer/update.go
+++ b/pasteer/update.go
@@ -52,6 +52,7 @@
 			b.services[name] = svc
 		}
 		svc.settings, svc.targets = settings, svc.targets[:0]
+		b.updateLoads(svc)
 	}
 }
 
@@ -74,6 +75,7 @@
 		svc.rankings.remove(t)
 	}
 	delete(b.targets, t.state.ID)
+	b.removeLoad(t)
 }
 
 // updateTarget applies what the view says of a target.
@@ -87,7 +89,7 @@
 		t = b.addTarget(id, m, now)
 	}
 	wasCold := t.isCold(now)
-	t.state = *m
+	t.state, t.service = *m, b.services[m.Service]
 	t.distance = b.distance(m.Zone, t.region)
 	_, evacuated := v.Evacuated[m.Zone]
 	t.excluded = m.Draining || evacuated || b.saysDraining(id, m.Born)
@@ -108,6 +110,7 @@
 func (b *Balancer) addTarget(id string, m *pafleet.TargetState, now time.Time) *target {
 	t := &target{hash: xxhash.Sum64String(id), region: b.Config.Regions[m.Zone], pushback: b.pushbacks[lifetime{id, m.Born}]}
 	b.targets[id] = t
+	b.addLoad(t, id, m.Born)
 	if b.used[m.Service] {
 		t.joinedAt = now
 	}
