--- a/pagate/loadnote_test.go
+++ b/pagate/loadnote_test.go
@@ -144,3 +144,51 @@
 	v.ApplyListing(changes, contendedTargets+2, gossipStart)
 	return v
 }
+
+// Guards against notes that circulate, and against entry VMs that are not told: one note reaches all entry VMs of a region, and crosses
+// each edge once at most.
+func TestLoadNoteReachesRegionOnce(t *testing.T) {
+	for _, size := range []int{3, 20, 100} {
+		gates := map[string]*Gate{}
+		for i := range size {
+			g := newLoadGate(size, true)
+			g.self.Name = fmt.Sprint("e", i)
+			g.balancer.Update(contendedView(), gossipStart)
+			gates[g.self.Name] = g
+		}
+		first := gates["e0"].balancer
+		first.Start(pasteer.Choice{Target: "t0"}, pasteer.Request{Route: warmRoute, Service: "s"}, gossipStart)
+		first.Finish(pasteer.Report{Target: "t0", Route: "r", LoadKnown: true, Running: 3, Waiting: 9}, gossipStart)
+		told, after := map[[2]string]int{}, map[[2]string]uint64{}
+		reached := func() (n int) {
+			for _, g := range gates {
+				if _, received := g.balancer.LoadNoteCounts(); received > 0 {
+					n++
+				}
+			}
+			return n
+		}
+		calls := 0
+		for ; calls < 6 && reached() < size-1; calls++ {
+			now := gossipStart.Add(time.Duration(calls)*syncInterval + replyDelay)
+			for name, g := range gates {
+				for _, e := range g.neighbours(g.state.Load().entries) {
+					q, edge := &pawire.SyncRequest{}, [2]string{e.Name, name}
+					g.peers.wantLoads(q, &peerConn{lastLoad: after[edge]}, e)
+					notes, last := gates[e.Name].balancer.LoadNotes(q.GetLoadsAfter(), maxLoadsPerCall, q.GetLoadsRelayed(), now)
+					after[edge] = last
+					told[edge] += len(notes)
+					g.balancer.ApplyLoadNotes(notes, now)
+				}
+			}
+		}
+		most := 0
+		for _, n := range told {
+			most = max(most, n)
+		}
+		t.Logf("%d entry VMs: the note is everywhere after %d turns of calls", size, calls)
+		if n := reached(); n != size-1 || most > 1 {
+			t.Errorf("%d entry VMs: the note reached %d, and crossed an edge %d times", size, n, most)
+		}
+	}
+}
