pasteer: a request that waits is refused once no target is expected to answer in time, and waits for no load that is only presumed

Cause: with loads that tend to the usual one a waiting request could wait for requests that nobody had seen; and one that was expected to be late kept waiting until its deadline, so that its caller could not return. Change: a place counts requests that were reported; Full ends a wait as TooLate. Measured: tests of pasteer; the waiting test now sets the belief that a report leaves, as strict as before.

--- a/pasteer/waiting.go
+++ b/pasteer/waiting.go
@@ -164,7 +164,11 @@
 	c := b.Choose(w.Request, now)
 	t := b.targets[c.Target]
 	switch {
-	case c.Reason == ReasonFull || c.Reason == ReasonCold:
+	case c.Reason == ReasonCold:
+		return
+	case c.Reason == ReasonFull:
+		// No target is expected to answer in time any more. Its caller may still return, which it cannot after a longer wait.
+		b.refuse(w, Choice{Reason: ReasonTooLate, RetryAfter: c.RetryAfter, Load: c.Load})
 		return
 	case t == nil || c.Relay:
 		b.refuse(w, c)
@@ -259,5 +263,5 @@
 	if q.Priority <= b.mostUrgent && b.mostUrgent < b.leastUrgent {
 		places++
 	}
-	return t.load(now) < places
+	return t.knownLoad(now) < places
 }
