--- a/paload/replay_test.go
+++ b/paload/replay_test.go
@@ -21,7 +21,7 @@
 type replayEntry struct {
 	belief Belief
 	log    Log
-	// lastTotal is the latest report, as counted before this package.
+	// lastOthers and lastAt are the latest report, which counts for oldTTL where a service is not contended.
 	lastOthers float64
 	lastAt     time.Time
 	own        int
@@ -41,7 +41,7 @@
 	// replayQueue is how many requests the target has at most.
 	replayQueue = 12
 	callEvery   = 500 * time.Millisecond
-	// oldTTL is how long a report counted before.
+	// oldTTL is how long a report counts at a service that is not contended.
 	oldTTL = 500 * time.Millisecond
 )
 
