pagate: no places at full services

A request is refused as full by the targets of its own object; the rate of the whole service tells little of when they have room. The code and its replay stay, off by default, for the waiting room.

--- a/pagate/returning.go
+++ b/pagate/returning.go
@@ -27,6 +27,8 @@
 	mutex     sync.Mutex
 	schedule  pareturn.Schedule
 	deadlines pareturn.Deadlines
+	// services says that callers get places at full services as well.
+	services bool
 }
 
 // returning is what is known of a request whose caller may have been refused before.
@@ -66,7 +68,7 @@
 
 // noteService claims a place at the request's service if the caller returns, and tells otherwise how much is booked there.
 func (g *Gate) noteService(x *exchange) {
-	if !x.contended {
+	if !x.contended || !g.returns.services {
 		return
 	}
 	k, now, r := pareturn.Key{Service: true, Name: x.service}, g.uptime(), &g.returns
@@ -81,7 +83,7 @@
 
 // noteReply counts an answer of the request's service.
 func (g *Gate) noteReply(x *exchange, status int) {
-	if status < http.StatusInternalServerError {
+	if g.returns.services && status < http.StatusInternalServerError {
 		g.countFree(x, pareturn.Key{Service: true, Name: x.service})
 	}
 }
@@ -111,7 +113,7 @@
 
 // refuseBusy is refuse; if the request's service is contended and full, the caller gets the time at which room is expected.
 func (g *Gate) refuseBusy(w http.ResponseWriter, x *exchange, reason string, retryAfter time.Duration) {
-	if x.contended && (reason == string(pasteer.ReasonFull) || reason == reasonAttemptsSpent) {
+	if g.returns.services && x.contended && (reason == string(pasteer.ReasonFull) || reason == reasonAttemptsSpent) {
 		k := pareturn.Key{Service: true, Name: x.service}
 		retryAfter = g.book(x, k, http.StatusServiceUnavailable, retryAfter, func(measured float64) float64 { return measured })
 	}
--- a/pagate/returning_test.go
+++ b/pagate/returning_test.go
@@ -74,6 +74,7 @@
 // Guards against callers of a contended service that miss their place by a random delay, or share one.
 func TestRefusedCallersGetPlacesOneAfterTheOther(t *testing.T) {
 	g, _, _ := returnGate(true)
+	g.returns.services = true
 	for range 40 {
 		g.noteReply(returnExchange(g, 3*time.Second), http.StatusOK)
 	}
