--- a/pagate/relay.go
+++ b/pagate/relay.go
@@ -172,6 +172,9 @@
 	if said.Outcome != relayAnswered || response.StatusCode >= http.StatusInternalServerError {
 		r.outcome = pasteer.Failed
 	}
+	if a.x.lastChoice.Sender != 0 && said.Outcome == relayUnknown && said.Reason == reasonDeadline {
+		r.outcome = pasteer.Abandoned
+	}
 	if said.Outcome == relayAnswered {
 		load := parseLoad(response.Header.Get(a.gate.config.Headers.Load))
 		r.report.LoadKnown, r.report.Running, r.report.Waiting = load.known, load.running, load.waiting
--- a/pasteer/doc.go
+++ b/pasteer/doc.go
@@ -16,6 +16,8 @@
 //   - A target is lost to this entry VM while connections to it fail. If another entry VM reaches it, the path between is the
 //     cause, and a relay, one of those entry VMs, forwards the requests for it. A probe is a connection that is opened only to
 //     learn whether the path works.
+//   - The sender of a target is the entry VM of a zone that sends the zone's requests for it, if callers compete for the service's
+//     slots. The others hand these requests over to it.
 //   - A target itself is cold for some time after its start, whatever the objects. It then bears only a low request rate and
 //     crashes above it.
 package pasteer
