pasteer, paload: an entry VM that does not respond is unresponsive

The names quiet* stood for two things: an entry VM without responses, and a target that is not heard of.

--- a/paload/belief.go
+++ b/paload/belief.go
@@ -28,8 +28,8 @@
 const (
 	// usualLife is the time over which the load of a target is averaged: several runs, and less than a burst.
 	usualLife = 5 * time.Second
-	// quietLife is the time in which the usual load is forgotten of a target from which nothing is heard: nobody uses it then.
-	quietLife = 10 * time.Second
+	// unheardLife is the time in which the usual load is forgotten of a target from which nothing is heard: nobody uses it then.
+	unheardLife = 10 * time.Second
 	// defaultRun is the time of a run before the first one.
 	defaultRun = 500 * time.Millisecond
 )
@@ -47,7 +47,7 @@
 func (b *Belief) expect(m *Model, others float64, at time.Time, slots float64, now time.Time) float64 {
 	age := max(0, now.Sub(at))
 	left := decay(age, m.queueLife(others, slots))
-	return others*left + b.usual*decay(age, quietLife)*(1-left)
+	return others*left + b.usual*decay(age, unheardLife)*(1-left)
 }
 
 // Known returns how many requests of other entry VMs that were at the target presumably still are. Unlike Others it counts none that
--- a/pasteer/relay.go
+++ b/pasteer/relay.go
@@ -31,9 +31,9 @@
 	measuredAt time.Time
 	// failedUntil is until when it gets no requests of a service; the empty name is for all services.
 	failedUntil map[string]time.Time
-	// quietSince is since when it has responded to nothing that it was handed as a sender, zero while it has nothing; after
-	// maxQuiet it is handed the next request at quietTryAt.
-	quietSince, quietTryAt time.Time
+	// pendingSince is since when it has responded to nothing that it was handed as a sender, zero while nothing is pending; after
+	// maxSenderPending it is handed the next request at nextTryAt.
+	pendingSince, nextTryAt time.Time
 }
 
 const (
@@ -211,5 +211,5 @@
 // isForgotten reports whether nothing is known of the entry VM that still counts.
 func (s *relayState) isForgotten(now time.Time) bool {
 	maps.DeleteFunc(s.failedUntil, func(_ string, until time.Time) bool { return now.After(until) })
-	return s.outstanding == 0 && len(s.failedUntil) == 0 && now.Sub(s.quietTryAt) > relayDelayTTL && now.Sub(s.measuredAt) > relayDelayTTL
+	return s.outstanding == 0 && len(s.failedUntil) == 0 && now.Sub(s.nextTryAt) > relayDelayTTL && now.Sub(s.measuredAt) > relayDelayTTL
 }
--- a/pasteer/sender.go
+++ b/pasteer/sender.go
@@ -21,11 +21,11 @@
 }
 
 const (
-	// maxQuiet is how long an entry VM may leave all that it was handed without a response before this one sends by itself. Long
+	// maxSenderPending is how long an entry VM may respond to nothing that it was handed before this one sends by itself. Long
 	// runs exceed it, which costs them a colder connection.
-	maxQuiet = time.Second
-	// quietRetryInterval is the time between two requests that a quiet entry VM is handed.
-	quietRetryInterval = time.Second
+	maxSenderPending = time.Second
+	// senderRetryInterval is the time between two requests that an unresponsive entry VM is handed.
+	senderRetryInterval = time.Second
 	// leavingTTL is how long an entry VM that shuts down is handed nothing; its registration is gone by then.
 	leavingTTL = 5 * time.Second
 )
@@ -82,7 +82,7 @@
 	}
 	hash := b.senderOf(t)
 	p, ok := b.senders.peers[hash]
-	if !ok || p.Lost[svc.name].Targets > 0 || b.relayFails(p.Name, svc.name, now) || b.isQuiet(p.Name, now) {
+	if !ok || p.Lost[svc.name].Targets > 0 || b.relayFails(p.Name, svc.name, now) || b.senderUnresponsive(p.Name, now) {
 		return c
 	}
 	c.Relay, c.Sender = true, hash
@@ -114,7 +114,7 @@
 		return Peer{}, false
 	}
 	s := b.relayState(p.Name)
-	s.startQuiet(now)
+	s.startPending(now)
 	b.StartRelay(p.Name)
 	b.recordSent(c, q, now)
 	return p, true
@@ -138,7 +138,7 @@
 		s.fail("", now, leavingTTL)
 	}
 	if r.Responded {
-		s.endQuiet(now)
+		s.endPending(now)
 	}
 	t := b.targets[r.Target]
 	if t == nil || !r.Responded {
@@ -154,27 +154,27 @@
 	}
 }
 
-// isQuiet reports whether an entry VM has responded to nothing for too long while it had requests of this one. An entry VM that loses
-// power refuses no connection, and only few others of a large zone call it; the store tells seconds later.
-func (b *Balancer) isQuiet(name string, now time.Time) bool {
+// senderUnresponsive reports whether an entry VM has responded to nothing for too long while it had requests of this one. An entry VM
+// that loses power refuses no connection, and only few others of a large zone call it; the store tells seconds later.
+func (b *Balancer) senderUnresponsive(name string, now time.Time) bool {
 	s := b.relayStates[name]
-	return s != nil && !s.quietSince.IsZero() && now.Sub(s.quietSince) > maxQuiet && now.Before(s.quietTryAt)
+	return s != nil && !s.pendingSince.IsZero() && now.Sub(s.pendingSince) > maxSenderPending && now.Before(s.nextTryAt)
 }
 
-// startQuiet records that the entry VM is handed a request.
-func (s *relayState) startQuiet(now time.Time) {
+// startPending records that the entry VM is handed a request as a sender.
+func (s *relayState) startPending(now time.Time) {
 	switch {
-	case s.quietSince.IsZero():
-		s.quietSince, s.quietTryAt = now, now.Add(maxQuiet+quietRetryInterval)
-	case now.Sub(s.quietSince) > maxQuiet:
-		s.quietTryAt = now.Add(quietRetryInterval)
+	case s.pendingSince.IsZero():
+		s.pendingSince, s.nextTryAt = now, now.Add(maxSenderPending+senderRetryInterval)
+	case now.Sub(s.pendingSince) > maxSenderPending:
+		s.nextTryAt = now.Add(senderRetryInterval)
 	}
 }
 
-// endQuiet records that it responded.
-func (s *relayState) endQuiet(now time.Time) {
-	s.quietSince = time.Time{}
+// endPending records that it responded.
+func (s *relayState) endPending(now time.Time) {
+	s.pendingSince = time.Time{}
 	if s.outstanding > 0 {
-		s.quietSince, s.quietTryAt = now, now.Add(maxQuiet+quietRetryInterval)
+		s.pendingSince, s.nextTryAt = now, now.Add(maxSenderPending+senderRetryInterval)
 	}
 }
--- a/pasteer/sender_test.go
+++ b/pasteer/sender_test.go
@@ -129,14 +129,14 @@
 	if _, ok := b.StartSender(b.Choose(q, begin), q, begin); !ok {
 		t.Fatal("the sender is not known")
 	}
-	if !b.Choose(q, begin.Add(maxQuiet/2)).Relay {
+	if !b.Choose(q, begin.Add(maxSenderPending/2)).Relay {
 		t.Error("the sender is avoided although its response is not due")
 	}
-	late := begin.Add(maxQuiet + time.Millisecond)
+	late := begin.Add(maxSenderPending + time.Millisecond)
 	if b.Choose(q, late).Relay {
 		t.Error("the sender has responded to nothing, and gets a further request")
 	}
-	again := begin.Add(maxQuiet + quietRetryInterval)
+	again := begin.Add(maxSenderPending + senderRetryInterval)
 	c := b.Choose(q, again)
 	if _, ok := b.StartSender(c, q, again); !c.Relay || !ok {
 		t.Fatal("the sender is not tried again")
