pasteer: a request that is handed to a sender counts once for MaxShift

Cause: the entry VM that received a request counted it for MaxShift, and the sender again, so that the allowances of all entry VMs of a region summed up to twice those without senders. Change: of a contended service, requests that are relayed, were handed over before or whose body can be sent once add none; shifts count wherever they are chosen. TestRequestCountsOnceForMaxShift counts three requests without it.

--- a/pasteer/sender.go
+++ b/pasteer/sender.go
@@ -97,6 +97,13 @@
 		len(q.Tried) == 0 && len(q.Unreached) == 0 && q.allows(b.Config.Region)
 }
 
+// countedElsewhere reports whether the request was counted for MaxShift when it was handed to a sender, by the entry VM that received it.
+// Counted at both, a region's requests would be allowed twice the shifts. A shift counts at each entry VM that chooses it.
+func (b *Balancer) countedElsewhere(q Request) bool {
+	svc := b.services[q.Service]
+	return svc != nil && b.contended(svc) && (q.Direct || q.NoSender)
+}
+
 // isShared reports whether the target's requests go through its sender.
 //
 // The rate that a target bears while it is cold, or that it names, is divided among entry VMs, each of which holds its share in
--- a/pasteer/sender_test.go
+++ b/pasteer/sender_test.go
@@ -184,6 +184,35 @@
 	}
 }
 
+// Guards against twice the shifts that a region may make, as each request counts at the entry VM that received it and at the sender.
+func TestRequestCountsOnceForMaxShift(t *testing.T) {
+	all := senderZone(4, 2)
+	b, q, name := handedOver(t, all)
+	c := b.Choose(q, begin)
+	b.StartSender(c, q, begin)
+	relayed, again := q, q
+	relayed.Direct, again.NoSender = true, true
+	for _, o := range all {
+		if o.Config.Name == name {
+			o.Start(Choice{Target: c.Target, Shifted: true}, relayed, begin)
+		}
+	}
+	b.Start(Choice{Target: c.Target}, again, begin) // The sender refused it.
+	requests, shifted := 0, 0
+	for _, o := range all {
+		n, s := o.shifts.totals(begin, shiftWindow)
+		requests, shifted = requests+n, shifted+s
+	}
+	if requests != 1 || shifted != 1 {
+		t.Errorf("%d requests and %d shifts count, want one of each", requests, shifted)
+	}
+	other := newBalancer("a1", fleet(2))
+	other.Start(Choice{Target: c.Target}, relayed, begin)
+	if n, _ := other.shifts.totals(begin, shiftWindow); n != 1 {
+		t.Errorf("%d relayed requests of a service that is not contended count, want one as before", n)
+	}
+}
+
 // Guards against decisions whose cost grows with the number of targets: all requests of an entry VM share their lock.
 func TestSenderIsFoundWithoutAllocation(t *testing.T) {
 	b := senderZone(10, 96)[0]
--- a/pasteer/shift.go
+++ b/pasteer/shift.go
@@ -91,7 +91,9 @@
 		return
 	}
 	i := b.shifts.bucketAt(now, shiftWindow)
-	b.shifts.requests[i]++
+	if !b.countedElsewhere(q) {
+		b.shifts.requests[i]++
+	}
 	if c.Shifted {
 		b.shifts.events[i]++
 	}
