pasteer, pagate: loads in responses through senders count, by lifetime

Cause: FinishSender set the load that only services without contention use, so that an entry VM learned nothing from responses to the requests that it handed over; and it took the response of a target's earlier lifetime for the next one. Change: it sets the believed load, compares the start, and notes in a message beyond the most that one may hold are dropped.

--- a/pagate/loadnote.go
+++ b/pagate/loadnote.go
@@ -90,13 +90,13 @@
 	return m
 }
 
-// decodeLoads returns the notes of a message; none if its lists do not match.
+// decodeLoads returns the notes of a message, maxLoadsPerCall at most; none if its lists do not match.
 func decodeLoads(m *pawire.LoadNotes) []paload.Note {
 	count := len(m.GetTargets())
 	if len(m.GetLoads()) != count || len(m.GetAgeHundredths()) != count || len(m.GetSlowness()) != 0 && len(m.GetSlowness()) != count {
 		return nil
 	}
-	all := make([]paload.Note, count)
+	all := make([]paload.Note, min(count, maxLoadsPerCall))
 	for i := range all {
 		all[i] = paload.Note{Key: m.Targets[i], Load: float64(m.Loads[i]), Age: time.Duration(m.AgeHundredths[i]) * loadAgeUnit}
 		if len(m.Slowness) > 0 {
--- a/pagate/loadnote_test.go
+++ b/pagate/loadnote_test.go
@@ -49,6 +49,11 @@
 			t.Errorf("%v: %v, want none", m, got)
 		}
 	}
+	const many = 100 * maxLoadsPerCall
+	long := &pawire.LoadNotes{Targets: make([]uint32, many), Loads: make([]uint32, many), AgeHundredths: make([]uint32, many)}
+	if got := len(decodeLoads(long)); got != maxLoadsPerCall {
+		t.Errorf("%d notes of a message with %d, want %d at most", got, many, maxLoadsPerCall)
+	}
 	huge := uint32(1<<32 - 1)
 	for _, n := range decodeLoads(&pawire.LoadNotes{Targets: []uint32{1}, Loads: []uint32{huge}, AgeHundredths: []uint32{huge}, Slowness: []uint32{huge}}) {
 		if n.IsValid(1) {
--- a/pagate/sender.go
+++ b/pagate/sender.go
@@ -75,7 +75,7 @@
 			report.RetryAfter = time.Duration(r.relayed.RetryMicroseconds) * time.Microsecond
 		}
 		if r.relayed.Outcome != relayNotRun {
-			report.Target = r.relayed.Target
+			report.Target, report.Born = r.relayed.Target, r.relayed.Born
 		}
 		if r.relayed.Outcome == relayAnswered {
 			report.LoadKnown, report.Load = r.report.LoadKnown, r.report.Running+r.report.Waiting
--- a/pasteer/sender.go
+++ b/pasteer/sender.go
@@ -130,6 +130,8 @@
 // SenderReport describes how a request ended that was handed to the sender of its target.
 type SenderReport struct {
 	RelayReport
+	// Born identifies the lifetime of Target.
+	Born int64
 	// Leaving says that the sender shuts down, Responded that it responded at all.
 	Leaving, Responded bool
 	// LoadKnown is set if the target's response told its running and waiting requests, Load of them.
@@ -148,12 +150,15 @@
 		s.endPending(now)
 	}
 	t := b.targets[r.Target]
-	if t == nil || !r.Responded {
+	if t == nil || t.state.Born != r.Born || !r.Responded {
 		return
 	}
 	t.used, b.used[t.state.Service] = true, true
 	if r.LoadKnown {
 		t.otherLoad, t.otherLoadAt = max(0, float64(r.Load-t.inFlight-1)), now
+		if t.loadModel() != nil {
+			t.belief.Observe(t.otherLoad, now) // The sender tells neighbours.
+		}
 	}
 	if q.hasAffinity() && len(q.Tried) == 0 {
 		// The sender may have chosen another target.
--- a/pasteer/sender_test.go
+++ b/pasteer/sender_test.go
@@ -213,6 +213,26 @@
 	}
 }
 
+// Guards against an entry VM that does not know the load of targets to which others send its requests, and against the load of an
+// earlier lifetime that counts for the next one.
+func TestLoadIsKnownFromSendersResponse(t *testing.T) {
+	b, q, name := handedOver(t, senderZone(4, 2))
+	c := b.Choose(q, begin)
+	b.StartSender(c, q, begin)
+	report := SenderReport{RelayReport: RelayReport{Name: name, Service: "s", Target: c.Target}, Responded: true, LoadKnown: true, Load: 9}
+	o := b.targets[c.Target]
+	report.Born = o.state.Born + 1
+	b.FinishSender(report, q, begin)
+	if got := o.load(begin); got != 0 {
+		t.Errorf("load %v by the response of another lifetime, want 0", got)
+	}
+	report.Born = o.state.Born
+	b.FinishSender(report, q, begin)
+	if got := o.load(begin); got != 8 {
+		t.Errorf("load %v, want the 8 other requests that were reported", got)
+	}
+}
+
 // Guards against decisions whose cost grows with the number of targets: all requests of an entry VM share their lock.
 func TestSenderIsFoundWithoutAllocation(t *testing.T) {
 	b := senderZone(10, 96)[0]
