paload, pasteer: reported loads are bounded, and senders of the past are forgotten

Change: the bound for neighbours' loads holds for responses too; UpdateSenders drops senders that are not needed any more.

--- a/pagate/sender.go
+++ b/pagate/sender.go
@@ -36,7 +36,7 @@
 	}
 	g.balancerMutex.Lock()
 	defer g.balancerMutex.Unlock()
-	g.balancer.UpdateSenders(g.self.LinkMbps, others)
+	g.balancer.UpdateSenders(g.self.LinkMbps, others, g.config.Clock.Now())
 }
 
 // noSender reports whether no sender may be handed the request: an entry VM was already, or a part of its body can be read only once.
--- a/paload/belief.go
+++ b/paload/belief.go
@@ -83,8 +83,11 @@
 	return 1 + (slowness-1)*decay(max(0, age), life)
 }
 
-// Observe takes how many requests of other entry VMs are at the target by a response that this entry VM just had.
-func (b *Belief) Observe(others float64, now time.Time) { b.set(others, now) }
+// Observe takes how many requests of other entry VMs are at the target by a response that this entry VM just had. Like a note, a response
+// cannot take the target out of use for long by a load that is out of all proportion.
+func (b *Belief) Observe(others, slots float64, now time.Time) {
+	b.set(min(others, maxLoadPerSlot*max(1, slots)), now)
+}
 
 // ObserveSlowness takes the slowness that such a response reported; 0 is none.
 func (b *Belief) ObserveSlowness(m *Model, slowness float64, now time.Time) {
--- a/paload/belief_test.go
+++ b/paload/belief_test.go
@@ -27,12 +27,12 @@
 	m := model()
 	var short, long Belief
 	for i := range 20 {
-		short.Observe(0, at(time.Duration(i)*time.Second))
-		long.Observe(0, at(time.Duration(i)*time.Second))
+		short.Observe(0, slots, at(time.Duration(i)*time.Second))
+		long.Observe(0, slots, at(time.Duration(i)*time.Second))
 	}
 	now := at(20 * time.Second)
-	short.Observe(2, now)
-	long.Observe(12, now)
+	short.Observe(2, slots, now)
+	long.Observe(12, slots, now)
 	if got := short.Known(m, slots, now.Add(run)); math.Abs(got-2/math.E) > 0.01 {
 		t.Errorf("two requests at three slots: %.2f left after a run, want %.2f", got, 2/math.E)
 	}
@@ -49,10 +49,10 @@
 	m := model()
 	var b Belief
 	for i := range 100 {
-		b.Observe(float64(4+i%5), at(time.Duration(i)*200*time.Millisecond))
+		b.Observe(float64(4+i%5), slots, at(time.Duration(i)*200*time.Millisecond))
 	}
 	now := at(20*time.Second - 200*time.Millisecond)
-	b.Observe(0, now)
+	b.Observe(0, slots, now)
 	if got := b.Others(m, slots, now.Add(2*time.Second)); got < 4 || got > 6 {
 		t.Errorf("%.2f requests two seconds after the last word, want about the usual six", got)
 	}
@@ -103,11 +103,24 @@
 	}
 }
 
+// Guards against a target that is out of use for minutes, as its queue would take that long by the load that it reported.
+func TestReportedLoadIsBounded(t *testing.T) {
+	m := model()
+	var b Belief
+	b.Observe(1e9, slots, begin)
+	if got := b.Known(m, slots, begin); got != maxLoadPerSlot*slots {
+		t.Errorf("%v requests, want %v at most", got, maxLoadPerSlot*slots)
+	}
+	if got := b.Others(m, slots, at(time.Minute)); got > slots {
+		t.Errorf("%v requests a minute after, want a free slot", got)
+	}
+}
+
 // Guards against a report from a clock that was set back, which would make a belief grow.
 func TestReportFromTheFuture(t *testing.T) {
 	m := model()
 	var b Belief
-	b.Observe(5, at(time.Minute))
+	b.Observe(5, slots, at(time.Minute))
 	b.ObserveSlowness(m, 2, at(time.Minute))
 	if got := b.Others(m, slots, begin); got != 5 {
 		t.Errorf("%v requests a minute before the report, want 5", got)
--- a/paload/note_test.go
+++ b/paload/note_test.go
@@ -12,7 +12,7 @@
 // Guards against an old note that replaces what this entry VM heard itself later.
 func TestOldNoteDoesNotReplaceNewerReport(t *testing.T) {
 	var b Belief
-	b.Observe(1, begin)
+	b.Observe(1, slots, begin)
 	if b.Apply(noteAt(9, time.Second), 0, slots, begin.Add(time.Millisecond)) {
 		t.Error("a note from before the report counts as new")
 	}
@@ -78,7 +78,7 @@
 	var b Belief
 	tell := func(load, slowness float64, now time.Time) bool {
 		b.ObserveSlowness(m, slowness, now)
-		b.Observe(load, now)
+		b.Observe(load, slots, now)
 		return b.Tell(m, load, slots, now)
 	}
 	for _, c := range []struct {
--- a/paload/replay_test.go
+++ b/paload/replay_test.go
@@ -112,7 +112,7 @@
 	e.own--
 	others := float64(len(r.queue) - e.own)
 	e.lastOthers, e.lastAt = others, at(now)
-	e.belief.Observe(others, at(now))
+	e.belief.Observe(others, slots, at(now))
 	if e.belief.Tell(r.model, others+float64(e.own), slots, at(now)) {
 		e.log.Add(Note{Key: 1, Load: others + float64(e.own)}, true, at(now))
 	}
@@ -175,7 +175,7 @@
 func BenchmarkOthers(b *testing.B) {
 	m := model()
 	var belief Belief
-	belief.Observe(7, begin)
+	belief.Observe(7, slots, begin)
 	belief.ObserveSlowness(m, 2.5, begin)
 	b.ReportAllocs()
 	for b.Loop() {
--- a/pasteer/relay.go
+++ b/pasteer/relay.go
@@ -31,7 +31,7 @@
 	measuredAt time.Time
 	// failedUntil is until when it gets no requests of a service; the empty name is for all services.
 	failedUntil map[string]time.Time
-	// pendingSince is since when it has responded to nothing that it was handed as a sender, zero while nothing is pending; after
+	// pendingSince is since when it has responded to nothing that it was handed as a sender, zero if it responded to all; after
 	// maxSenderPending it is handed the next request at nextTryAt.
 	pendingSince, nextTryAt time.Time
 }
@@ -56,7 +56,7 @@
 	for _, p := range all {
 		b.peerByHash[xxhash.Sum64String(p.Name)] = p
 	}
-	maps.DeleteFunc(b.relayStates, func(_ string, s *relayState) bool { return s.isForgotten(now) })
+	b.forgetRelays(now)
 	for _, svc := range b.services {
 		if svc.relays || b.hasLost(svc) {
 			b.judgePath(svc, now)
@@ -208,6 +208,11 @@
 	s.failedUntil[service] = now.Add(d)
 }
 
+// forgetRelays drops the entry VMs of which nothing is known that still counts.
+func (b *Balancer) forgetRelays(now time.Time) {
+	maps.DeleteFunc(b.relayStates, func(_ string, s *relayState) bool { return s.isForgotten(now) })
+}
+
 // isForgotten reports whether nothing is known of the entry VM that still counts.
 func (s *relayState) isForgotten(now time.Time) bool {
 	maps.DeleteFunc(s.failedUntil, func(_ string, until time.Time) bool { return now.After(until) })
--- a/pasteer/sender.go
+++ b/pasteer/sender.go
@@ -44,7 +44,8 @@
 }
 
 // UpdateSenders replaces the live entry VMs of this zone: this one with the bandwidth of its link in Mbit/s, and the others.
-func (b *Balancer) UpdateSenders(ownMbps float64, others []Peer) {
+func (b *Balancer) UpdateSenders(ownMbps float64, others []Peer, now time.Time) {
+	b.forgetRelays(now)
 	entries := []pasubset.Entry{{Hash: b.hash, Weight: pasubset.Weight(ownMbps)}}
 	b.senders.peers = make(map[uint64]Peer, len(others))
 	for _, p := range others {
@@ -157,7 +158,7 @@
 	if r.LoadKnown {
 		t.otherLoad, t.otherLoadAt = max(0, float64(r.Load-t.inFlight-1)), now
 		if t.loadModel() != nil {
-			t.belief.Observe(t.otherLoad, now) // The sender tells neighbours.
+			t.belief.Observe(t.otherLoad, t.slots(), now) // The sender tells neighbours.
 		}
 	}
 	if q.hasAffinity() && len(q.Tried) == 0 {
--- a/pasteer/sender_test.go
+++ b/pasteer/sender_test.go
@@ -27,7 +27,7 @@
 	for i, b := range all {
 		var others []Peer
 		others = append(others, peers[:i]...)
-		b.UpdateSenders(0, append(others, peers[i+1:]...))
+		b.UpdateSenders(0, append(others, peers[i+1:]...), begin)
 	}
 	return all
 }
@@ -98,7 +98,7 @@
 				b.senders.peers[hash] = p
 			}
 		},
-		"while the sender is not alive": func(b *Balancer, _ *Request, _ string) { b.UpdateSenders(0, nil) },
+		"while the sender is not alive": func(b *Balancer, _ *Request, _ string) { b.UpdateSenders(0, nil, begin) },
 		"to a target that named a limit": func(b *Balancer, _ *Request, _ string) {
 			for _, o := range b.targets {
 				o.limit.limited = true
@@ -233,6 +233,21 @@
 	}
 }
 
+// Guards against memory that grows with each entry VM that was ever a sender, as names change when entry VMs are replaced.
+func TestSendersOfThePastAreForgotten(t *testing.T) {
+	b, q, name := handedOver(t, senderZone(4, 2))
+	b.StartSender(b.Choose(q, begin), q, begin)
+	b.UpdateSenders(0, nil, begin.Add(time.Hour))
+	if len(b.relayStates) != 1 {
+		t.Error("a sender is forgotten while it has a request")
+	}
+	b.FinishSender(SenderReport{RelayReport: RelayReport{Name: name, Service: "s", Unresponsive: true}}, q, begin.Add(time.Hour))
+	b.UpdateSenders(0, nil, begin.Add(2*time.Hour))
+	if len(b.relayStates) != 0 {
+		t.Errorf("%d senders are known an hour after the last request", len(b.relayStates))
+	}
+}
+
 // Guards against decisions whose cost grows with the number of targets: all requests of an entry VM share their lock.
 func TestSenderIsFoundWithoutAllocation(t *testing.T) {
 	b := senderZone(10, 96)[0]
--- a/pasteer/waiting_test.go
+++ b/pasteer/waiting_test.go
@@ -110,7 +110,7 @@
 // Guards against a request that waits for a wake-up which cannot come: the requests that fill the target are other entry VMs'.
 func TestWaiterNeedsNoEvent(t *testing.T) {
 	b, _ := newContended(1, true)
-	b.targets["t0"].belief.Observe(3, begin)
+	b.targets["t0"].belief.Observe(3, 3, begin)
 	w := waiterFor(longRoute, "x", begin)
 	if !b.Admit(w, begin) {
 		t.Fatal("sent to a target without a free slot")
