--- a/paload/belief.go
+++ b/paload/belief.go
@@ -28,8 +28,8 @@
 const (
 	// usualLife is the time over which the load of a target is averaged: several runs, and less than a burst.
 	usualLife = 5 * time.Second
-	// quietLife is the time in which the usual load is forgotten of a target from which nothing is heard: nobody uses it then.
-	quietLife = 10 * time.Second
+	// unheardLife is the time in which the usual load is forgotten of a target from which nothing is heard: nobody uses it then.
+	unheardLife = 10 * time.Second
 	// defaultRun is the time of a run before the first one.
 	defaultRun = 500 * time.Millisecond
 )
@@ -47,7 +47,7 @@
 func (b *Belief) expect(m *Model, others float64, at time.Time, slots float64, now time.Time) float64 {
 	age := max(0, now.Sub(at))
 	left := decay(age, m.queueLife(others, slots))
-	return others*left + b.usual*decay(age, quietLife)*(1-left)
+	return others*left + b.usual*decay(age, unheardLife)*(1-left)
 }
 
 // Known returns how many requests of other entry VMs that were at the target presumably still are. Unlike Others it counts none that
@@ -83,8 +83,11 @@
 	return 1 + (slowness-1)*decay(max(0, age), life)
 }
 
-// Observe takes how many requests of other entry VMs are at the target by a response that this entry VM just had.
-func (b *Belief) Observe(others float64, now time.Time) { b.set(others, now) }
+// Observe takes how many requests of other entry VMs are at the target by a response that this entry VM just had. Like a note, a response
+// cannot take the target out of use for long by a load that is out of all proportion.
+func (b *Belief) Observe(others, slots float64, now time.Time) {
+	b.set(min(others, maxLoadPerSlot*max(1, slots)), now)
+}
 
 // ObserveSlowness takes the slowness that such a response reported; 0 is none.
 func (b *Belief) ObserveSlowness(m *Model, slowness float64, now time.Time) {
--- a/pasteer/sender.go
+++ b/pasteer/sender.go
@@ -21,11 +21,11 @@
 }
 
 const (
-	// maxQuiet is how long an entry VM may leave all that it was handed without a response before this one sends by itself. Long
+	// maxSenderPending is how long an entry VM may respond to nothing that it was handed before this one sends by itself. Long
 	// runs exceed it, which costs them a colder connection.
-	maxQuiet = time.Second
-	// quietRetryInterval is the time between two requests that a quiet entry VM is handed.
-	quietRetryInterval = time.Second
+	maxSenderPending = time.Second
+	// senderRetryInterval is the time between two requests that an unresponsive entry VM is handed.
+	senderRetryInterval = time.Second
 	// leavingTTL is how long an entry VM that shuts down is handed nothing; its registration is gone by then.
 	leavingTTL = 5 * time.Second
 )
@@ -44,7 +44,8 @@
 }
 
 // UpdateSenders replaces the live entry VMs of this zone: this one with the bandwidth of its link in Mbit/s, and the others.
-func (b *Balancer) UpdateSenders(ownMbps float64, others []Peer) {
+func (b *Balancer) UpdateSenders(ownMbps float64, others []Peer, now time.Time) {
+	b.forgetRelays(now)
 	entries := []pasubset.Entry{{Hash: b.hash, Weight: pasubset.Weight(ownMbps)}}
 	b.senders.peers = make(map[uint64]Peer, len(others))
 	for _, p := range others {
@@ -82,7 +83,7 @@
 	}
 	hash := b.senderOf(t)
 	p, ok := b.senders.peers[hash]
-	if !ok || p.Lost[svc.name].Targets > 0 || b.relayFails(p.Name, svc.name, now) || b.isQuiet(p.Name, now) {
+	if !ok || p.Lost[svc.name].Targets > 0 || b.relayFails(p.Name, svc.name, now) || b.senderUnresponsive(p.Name, now) {
 		return c
 	}
 	c.Relay, c.Sender = true, hash
@@ -97,6 +98,13 @@
 		len(q.Tried) == 0 && len(q.Unreached) == 0 && q.allows(b.Config.Region)
 }
 
+// countedElsewhere reports whether the request was counted for MaxShift when it was handed to a sender, by the entry VM that received it.
+// Counted at both, a region's requests would be allowed twice the shifts. A shift counts at each entry VM that chooses it.
+func (b *Balancer) countedElsewhere(q Request) bool {
+	svc := b.services[q.Service]
+	return svc != nil && b.contended(svc) && (q.Direct || q.NoSender)
+}
+
 // isShared reports whether the target's requests go through its sender.
 //
 // The rate that a target bears while it is cold, or that it names, is divided among entry VMs, each of which holds its share in
@@ -114,7 +122,7 @@
 		return Peer{}, false
 	}
 	s := b.relayState(p.Name)
-	s.startQuiet(now)
+	s.startPending(now)
 	b.StartRelay(p.Name)
 	b.recordSent(c, q, now)
 	return p, true
@@ -123,6 +131,8 @@
 // SenderReport describes how a request ended that was handed to the sender of its target.
 type SenderReport struct {
 	RelayReport
+	// Born identifies the lifetime of Target.
+	Born int64
 	// Leaving says that the sender shuts down, Responded that it responded at all.
 	Leaving, Responded bool
 	// LoadKnown is set if the target's response told its running and waiting requests, Load of them.
@@ -138,15 +148,18 @@
 		s.fail("", now, leavingTTL)
 	}
 	if r.Responded {
-		s.endQuiet(now)
+		s.endPending(now)
 	}
 	t := b.targets[r.Target]
-	if t == nil || !r.Responded {
+	if t == nil || t.state.Born != r.Born || !r.Responded {
 		return
 	}
 	t.used, b.used[t.state.Service] = true, true
 	if r.LoadKnown {
 		t.otherLoad, t.otherLoadAt = max(0, float64(r.Load-t.inFlight-1)), now
+		if t.loadModel() != nil {
+			t.belief.Observe(t.otherLoad, t.slots(), now) // The sender tells neighbours.
+		}
 	}
 	if q.hasAffinity() && len(q.Tried) == 0 {
 		// The sender may have chosen another target.
@@ -154,27 +167,27 @@
 	}
 }
 
-// isQuiet reports whether an entry VM has responded to nothing for too long while it had requests of this one. An entry VM that loses
-// power refuses no connection, and only few others of a large zone call it; the store tells seconds later.
-func (b *Balancer) isQuiet(name string, now time.Time) bool {
+// senderUnresponsive reports whether an entry VM has responded to nothing for too long while it had requests of this one. An entry VM
+// that loses power refuses no connection, and only few others of a large zone call it; the store tells seconds later.
+func (b *Balancer) senderUnresponsive(name string, now time.Time) bool {
 	s := b.relayStates[name]
-	return s != nil && !s.quietSince.IsZero() && now.Sub(s.quietSince) > maxQuiet && now.Before(s.quietTryAt)
+	return s != nil && !s.pendingSince.IsZero() && now.Sub(s.pendingSince) > maxSenderPending && now.Before(s.nextTryAt)
 }
 
-// startQuiet records that the entry VM is handed a request.
-func (s *relayState) startQuiet(now time.Time) {
+// startPending records that the entry VM is handed a request as a sender.
+func (s *relayState) startPending(now time.Time) {
 	switch {
-	case s.quietSince.IsZero():
-		s.quietSince, s.quietTryAt = now, now.Add(maxQuiet+quietRetryInterval)
-	case now.Sub(s.quietSince) > maxQuiet:
-		s.quietTryAt = now.Add(quietRetryInterval)
+	case s.pendingSince.IsZero():
+		s.pendingSince, s.nextTryAt = now, now.Add(maxSenderPending+senderRetryInterval)
+	case now.Sub(s.pendingSince) > maxSenderPending:
+		s.nextTryAt = now.Add(senderRetryInterval)
 	}
 }
 
-// endQuiet records that it responded.
-func (s *relayState) endQuiet(now time.Time) {
-	s.quietSince = time.Time{}
+// endPending records that it responded.
+func (s *relayState) endPending(now time.Time) {
+	s.pendingSince = time.Time{}
 	if s.outstanding > 0 {
-		s.quietSince, s.quietTryAt = now, now.Add(maxQuiet+quietRetryInterval)
+		s.pendingSince, s.nextTryAt = now, now.Add(maxSenderPending+senderRetryInterval)
 	}
 }
--- a/pasteer/sender_test.go
+++ b/pasteer/sender_test.go
@@ -27,7 +27,7 @@
 	for i, b := range all {
 		var others []Peer
 		others = append(others, peers[:i]...)
-		b.UpdateSenders(0, append(others, peers[i+1:]...))
+		b.UpdateSenders(0, append(others, peers[i+1:]...), begin)
 	}
 	return all
 }
@@ -98,7 +98,7 @@
 				b.senders.peers[hash] = p
 			}
 		},
-		"while the sender is not alive": func(b *Balancer, _ *Request, _ string) { b.UpdateSenders(0, nil) },
+		"while the sender is not alive": func(b *Balancer, _ *Request, _ string) { b.UpdateSenders(0, nil, begin) },
 		"to a target that named a limit": func(b *Balancer, _ *Request, _ string) {
 			for _, o := range b.targets {
 				o.limit.limited = true
@@ -129,14 +129,14 @@
 	if _, ok := b.StartSender(b.Choose(q, begin), q, begin); !ok {
 		t.Fatal("the sender is not known")
 	}
-	if !b.Choose(q, begin.Add(maxQuiet/2)).Relay {
+	if !b.Choose(q, begin.Add(maxSenderPending/2)).Relay {
 		t.Error("the sender is avoided although its response is not due")
 	}
-	late := begin.Add(maxQuiet + time.Millisecond)
+	late := begin.Add(maxSenderPending + time.Millisecond)
 	if b.Choose(q, late).Relay {
 		t.Error("the sender has responded to nothing, and gets a further request")
 	}
-	again := begin.Add(maxQuiet + quietRetryInterval)
+	again := begin.Add(maxSenderPending + senderRetryInterval)
 	c := b.Choose(q, again)
 	if _, ok := b.StartSender(c, q, again); !c.Relay || !ok {
 		t.Fatal("the sender is not tried again")
@@ -184,6 +184,70 @@
 	}
 }
 
+// Guards against twice the shifts that a region may make, as each request counts at the entry VM that received it and at the sender.
+func TestRequestCountsOnceForMaxShift(t *testing.T) {
+	all := senderZone(4, 2)
+	b, q, name := handedOver(t, all)
+	c := b.Choose(q, begin)
+	b.StartSender(c, q, begin)
+	relayed, again := q, q
+	relayed.Direct, again.NoSender = true, true
+	for _, o := range all {
+		if o.Config.Name == name {
+			o.Start(Choice{Target: c.Target, Shifted: true}, relayed, begin)
+		}
+	}
+	b.Start(Choice{Target: c.Target}, again, begin) // The sender refused it.
+	requests, shifted := 0, 0
+	for _, o := range all {
+		n, s := o.shifts.totals(begin, shiftWindow)
+		requests, shifted = requests+n, shifted+s
+	}
+	if requests != 1 || shifted != 1 {
+		t.Errorf("%d requests and %d shifts count, want one of each", requests, shifted)
+	}
+	other := newBalancer("a1", fleet(2))
+	other.Start(Choice{Target: c.Target}, relayed, begin)
+	if n, _ := other.shifts.totals(begin, shiftWindow); n != 1 {
+		t.Errorf("%d relayed requests of a service that is not contended count, want one as before", n)
+	}
+}
+
+// Guards against an entry VM that does not know the load of targets to which others send its requests, and against the load of an
+// earlier lifetime that counts for the next one.
+func TestLoadIsKnownFromSendersResponse(t *testing.T) {
+	b, q, name := handedOver(t, senderZone(4, 2))
+	c := b.Choose(q, begin)
+	b.StartSender(c, q, begin)
+	report := SenderReport{RelayReport: RelayReport{Name: name, Service: "s", Target: c.Target}, Responded: true, LoadKnown: true, Load: 9}
+	o := b.targets[c.Target]
+	report.Born = o.state.Born + 1
+	b.FinishSender(report, q, begin)
+	if got := o.load(begin); got != 0 {
+		t.Errorf("load %v by the response of another lifetime, want 0", got)
+	}
+	report.Born = o.state.Born
+	b.FinishSender(report, q, begin)
+	if got := o.load(begin); got != 8 {
+		t.Errorf("load %v, want the 8 other requests that were reported", got)
+	}
+}
+
+// Guards against memory that grows with each entry VM that was ever a sender, as names change when entry VMs are replaced.
+func TestSendersOfThePastAreForgotten(t *testing.T) {
+	b, q, name := handedOver(t, senderZone(4, 2))
+	b.StartSender(b.Choose(q, begin), q, begin)
+	b.UpdateSenders(0, nil, begin.Add(time.Hour))
+	if len(b.relayStates) != 1 {
+		t.Error("a sender is forgotten while it has a request")
+	}
+	b.FinishSender(SenderReport{RelayReport: RelayReport{Name: name, Service: "s", Unresponsive: true}}, q, begin.Add(time.Hour))
+	b.UpdateSenders(0, nil, begin.Add(2*time.Hour))
+	if len(b.relayStates) != 0 {
+		t.Errorf("%d senders are known an hour after the last request", len(b.relayStates))
+	}
+}
+
 // Guards against decisions whose cost grows with the number of targets: all requests of an entry VM share their lock.
 func TestSenderIsFoundWithoutAllocation(t *testing.T) {
 	b := senderZone(10, 96)[0]
