pareturn: no places at full services

Change: it is taken out: keys of services, the wait behind places that are due, the count of answers, its replay and its labels. The metric papayahead_gate_returns_total loses its label status, as only 429 is left.

--- a/pagate/answer.go
+++ b/pagate/answer.go
@@ -65,7 +65,7 @@
 	case x.mayHaveExecuted:
 		g.writeError(w, x, http.StatusBadGateway, string(c.Reason))
 	default:
-		g.refuseBusy(w, x, string(c.Reason), c.RetryAfter)
+		g.refuse(w, x, string(c.Reason), c.RetryAfter)
 	}
 }
 
@@ -78,7 +78,7 @@
 	case !x.mayHaveExecuted && room:
 		g.refuse(w, x, reasonAttemptsSpent, retryAfterShedWithRoom)
 	case !x.mayHaveExecuted:
-		g.refuseBusy(w, x, reasonAttemptsSpent, retryAfterTargetsFull)
+		g.refuse(w, x, reasonAttemptsSpent, retryAfterTargetsFull)
 	case r.outcome == pasteer.Abandoned && g.requestsCtx.Err() != nil:
 		g.writeError(w, x, http.StatusGatewayTimeout, reasonShuttingDown)
 	case r.outcome == pasteer.Abandoned:
@@ -92,7 +92,6 @@
 func (g *Gate) writeReply(w http.ResponseWriter, x *exchange, r attemptResult) {
 	p := r.reply
 	g.beginResponse(w, x, len(p.body))
-	g.noteReply(x, p.status)
 	h := w.Header()
 	for name, values := range p.header {
 		h[name] = values
--- a/pagate/forward.go
+++ b/pagate/forward.go
@@ -132,7 +132,6 @@
 	return pasteer.Request{
 		Route: x.route, Service: x.service, Object: x.object, Tried: x.tried, Unreached: x.unreached, Deadline: x.deadline,
 		Regions: x.allowedRegions(), Avoid: x.avoid, Direct: x.direct, Priority: x.priority(), NoSender: x.noSender(),
-		Behind: x.behind,
 	}
 }
 
--- a/pagate/front.go
+++ b/pagate/front.go
@@ -133,7 +133,6 @@
 	defer cancel()
 	defer context.AfterFunc(g.requestsCtx, cancel)()
 	x.service = g.pickService(x)
-	g.noteService(x)
 	g.forward(ctx, w, x)
 }
 
--- a/pagate/returning.go
+++ b/pagate/returning.go
@@ -11,13 +11,11 @@
 
 	"papayahead/paquota"
 	"papayahead/pareturn"
-	"papayahead/pasteer"
 )
 
-// roomHold is how long before the time of a place at a service others leave room for it. tokenHold is how long before the time of a place its token is left in the share, and returnPatience how long a caller that
-// returns waits for the pool, which grants tokens now and then.
+// tokenHold is how long before the time of a place its token is left in the share, and returnPatience how long a caller that returns
+// waits for the pool, which grants tokens now and then.
 const (
-	roomHold       = 100 * time.Millisecond
 	tokenHold      = 100 * time.Millisecond
 	returnPatience = limiterWait - 2*minCallInterval
 )
@@ -27,8 +25,6 @@
 	mutex     sync.Mutex
 	schedule  pareturn.Schedule
 	deadlines pareturn.Deadlines
-	// services says that callers get places at full services as well.
-	services bool
 }
 
 // returning is what is known of a request whose caller may have been refused before.
@@ -38,8 +34,6 @@
 	// told is the time that the caller has, by its own header. returned says that it returns as one does that has a place.
 	told     time.Duration
 	returned bool
-	// behind is how long the service works for callers that return about now, before this one if it does not.
-	behind time.Duration
 	// booked says that the refused caller has a place.
 	booked bool
 }
@@ -62,46 +56,24 @@
 // noteAdmitted counts a token of the request's workspace.
 func (g *Gate) noteAdmitted(x *exchange) {
 	if x.hasToken {
-		g.countFree(x, pareturn.Key{Name: x.workspaceName()})
+		g.countFree(x)
 	}
 }
 
-// noteService claims a place at the request's service if the caller returns, and tells otherwise how much is booked there.
-func (g *Gate) noteService(x *exchange) {
-	if !x.contended || !g.returns.services {
-		return
-	}
-	k, now, r := pareturn.Key{Service: true, Name: x.service}, g.uptime(), &g.returns
-	r.mutex.Lock()
-	defer r.mutex.Unlock()
-	if x.returned {
-		r.schedule.Claim(k, x.priority(), roomHold, now)
-		return
-	}
-	x.behind = r.schedule.Behind(k, x.priority(), roomHold, now)
-}
-
-// noteReply counts an answer of the request's service.
-func (g *Gate) noteReply(x *exchange, status int) {
-	if g.returns.services && status < http.StatusInternalServerError {
-		g.countFree(x, pareturn.Key{Service: true, Name: x.service})
-	}
-}
-
-func (g *Gate) countFree(x *exchange, k pareturn.Key) {
+func (g *Gate) countFree(x *exchange) {
 	if !x.contended {
 		return
 	}
 	g.returns.mutex.Lock()
 	defer g.returns.mutex.Unlock()
-	g.returns.schedule.CountFree(k, g.uptime())
+	g.returns.schedule.CountFree(x.workspaceName(), g.uptime())
 }
 
 // refuseLimited responds 429 to a request of a workspace at its limit. The caller gets the time of a token.
 func (g *Gate) refuseLimited(w http.ResponseWriter, x *exchange, s *state, retryAfter time.Duration) {
 	if x.contended {
 		share, reachable := g.division(x.workspace, s).Share.Rate, g.quotas.limiterReachable()
-		retryAfter = g.book(x, pareturn.Key{Name: x.workspaceName()}, http.StatusTooManyRequests, retryAfter, func(measured float64) float64 {
+		retryAfter = g.book(x, retryAfter, func(measured float64) float64 {
 			if !reachable {
 				return share // What came before were tokens of the pool as well.
 			}
@@ -111,18 +83,9 @@
 	g.refuseWithStatus(w, x, http.StatusTooManyRequests, reasonRateLimit, retryAfter)
 }
 
-// refuseBusy is refuse; if the request's service is contended and full, the caller gets the time at which room is expected.
-func (g *Gate) refuseBusy(w http.ResponseWriter, x *exchange, reason string, retryAfter time.Duration) {
-	if g.returns.services && x.contended && (reason == string(pasteer.ReasonFull) || reason == reasonAttemptsSpent) {
-		k := pareturn.Key{Service: true, Name: x.service}
-		retryAfter = g.book(x, k, http.StatusServiceUnavailable, retryAfter, func(measured float64) float64 { return measured })
-	}
-	g.refuse(w, x, reason, retryAfter)
-}
-
-// book books a place for a refused caller and returns the time until then. rateOf returns what comes free in a second by what was
-// measured.
-func (g *Gate) book(x *exchange, k pareturn.Key, status int, earliest time.Duration, rateOf func(float64) float64) time.Duration {
+// book books a place for a refused caller and returns the time until then. rateOf returns how many tokens come in a second by how
+// many were measured.
+func (g *Gate) book(x *exchange, earliest time.Duration, rateOf func(float64) float64) time.Duration {
 	now, passed := g.uptime(), g.config.Clock.Since(x.arrived)
 	r := &g.returns
 	r.mutex.Lock()
@@ -131,7 +94,7 @@
 	from, to := r.deadlines.Window(x.route.Name, max(left, x.told-passed))
 	r.deadlines.NoteRefused(x.route.Name, now)
 	c := r.schedule.Book(pareturn.Refused{
-		Key: k, Priority: x.priority(), Rate: rateOf(r.schedule.Rate(k, now)), Earliest: earliest,
+		Workspace: x.workspaceName(), Priority: x.priority(), Rate: rateOf(r.schedule.Rate(x.workspaceName(), now)), Earliest: earliest,
 		Left: left, From: from, To: to,
 	}, now)
 	x.booked = c.Booked
@@ -139,7 +102,7 @@
 	if c.Booked {
 		kind = returnBooked
 	}
-	g.meter.returnsTold(status, pareturn.ClassOf(x.priority()), kind).Inc()
+	g.meter.returnsTold(pareturn.ClassOf(x.priority()), kind).Inc()
 	return c.After
 }
 
@@ -150,14 +113,14 @@
 	if !x.contended {
 		return h.Decide(now, reachable)
 	}
-	k, r := pareturn.Key{Name: x.workspace.Name}, &l.gate.returns
+	name, r := x.workspace.Name, &l.gate.returns
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if x.returned {
-		r.schedule.Claim(k, x.priority(), tokenHold, now)
+		r.schedule.Claim(name, x.priority(), tokenHold, now)
 		return h.DecideReturn(now, reachable, returnPatience)
 	}
-	return h.DecideBehind(r.schedule.Held(k, tokenHold, now), now, reachable)
+	return h.DecideBehind(r.schedule.Held(name, tokenHold, now), now, reachable)
 }
 
 // limiterReachable is reachable without the mutex.
@@ -178,9 +141,8 @@
 }
 
 // returnsTold counts callers that were told when to return; returned counts requests that came as those with a place do.
-func (m *meter) returnsTold(status, class int, kind string) *metrics.Counter {
-	return m.set.GetOrCreateCounter(`papayahead_gate_returns_total{status="` + strconv.Itoa(status) + `",priority="` + strconv.Itoa(class) +
-		`",kind="` + kind + `"}`)
+func (m *meter) returnsTold(class int, kind string) *metrics.Counter {
+	return m.set.GetOrCreateCounter(`papayahead_gate_returns_total{priority="` + strconv.Itoa(class) + `",kind="` + kind + `"}`)
 }
 
 func (m *meter) returned(outcome string) *metrics.Counter {
@@ -199,8 +161,7 @@
 func (m *meter) exportReturns(g *Gate) {
 	for class := range pareturn.Classes {
 		for _, kind := range []string{returnBooked, returnTold} {
-			m.returnsTold(http.StatusTooManyRequests, class, kind).Set(0)
-			m.returnsTold(http.StatusServiceUnavailable, class, kind).Set(0)
+			m.returnsTold(class, kind).Set(0)
 		}
 	}
 	m.returned(returnAdmitted).Set(0)
--- a/pareturn/rate.go
+++ b/pareturn/rate.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// rateTime is the time over which tokens and answers are counted: some runs, and less than a burst.
+// rateTime is the time over which tokens are counted: some runs, and less than a burst.
 const rateTime = time.Second
 
-// rate is what comes free in a second, as a sum that decays.
+// rate is the number of tokens taken, as a sum that decays.
 type rate struct {
 	sum float64
 	at  time.Duration
@@ -21,23 +21,23 @@
 	a.at = now
 }
 
-// CountFree records that a token was taken, or that a target answered.
-func (s *Schedule) CountFree(k Key, now time.Duration) {
-	a := s.rates[k]
+// CountFree records that a token of a workspace was taken.
+func (s *Schedule) CountFree(workspace string, now time.Duration) {
+	a := s.rates[workspace]
 	if a == nil {
 		if s.rates == nil || len(s.rates) >= maxLines {
-			s.rates = map[Key]*rate{}
+			s.rates = map[string]*rate{}
 		}
 		a = &rate{at: now}
-		s.rates[k] = a
+		s.rates[workspace] = a
 	}
 	a.decay(now)
 	a.sum++
 }
 
-// Rate returns how many tokens were taken, or answers came, in a second of late.
-func (s *Schedule) Rate(k Key, now time.Duration) float64 {
-	a := s.rates[k]
+// Rate returns how many tokens of a workspace were taken in a second of late.
+func (s *Schedule) Rate(workspace string, now time.Duration) float64 {
+	a := s.rates[workspace]
 	if a == nil {
 		return 0
 	}
--- a/pareturn/schedule.go
+++ b/pareturn/schedule.go
@@ -8,7 +8,7 @@
 const (
 	// Classes is the number of classes of urgency; what is less urgent than the last of them belongs to it.
 	Classes = 3
-	// maxLines bounds the workspaces and services with places; the one that was used longest ago goes first.
+	// maxLines bounds the workspaces with places; the one that was used longest ago goes first.
 	maxLines = 512
 	// returnShare is the part of what comes free that is booked. The rest is for callers that come for the first time, which are
 	// still answered within their target latency.
@@ -19,18 +19,13 @@
 	minHeld = 3
 )
 
-// Key names what callers return to: a workspace's rate limit or a service.
-type Key struct {
-	Service bool
-	Name    string
-}
-
 // Refused describes a caller that is refused.
 type Refused struct {
-	Key Key
+	// Workspace is the name of the workspace at its limit.
+	Workspace string
 	// Priority is the urgency of the request; 0 is the most urgent.
 	Priority int
-	// Rate is what comes free in a second for callers of this entry VM: tokens, or answers of targets; 0 if nothing is known.
+	// Rate is how many tokens come in a second for callers of this entry VM; 0 if nothing is known.
 	Rate float64
 	// Earliest is the time until the first may be free.
 	Earliest time.Duration
@@ -47,8 +42,8 @@
 
 // Schedule is when callers of an entry VM return. The zero value is ready for use. It is not safe for concurrent use.
 type Schedule struct {
-	lines map[Key]*[Classes]line
-	rates map[Key]*rate
+	lines map[string]*[Classes]line
+	rates map[string]*rate
 }
 
 // ClassOf returns the class of urgency of a priority.
@@ -64,7 +59,7 @@
 	if r.Rate <= 0 {
 		return Return{After: max(0, min(r.Earliest, honoured))}
 	}
-	all := s.linesOf(r.Key, now)
+	all := s.linesOf(r.Workspace, now)
 	class := ClassOf(r.Priority)
 	interval := time.Duration(float64(time.Second) / (r.Rate * returnShare * classShare(all, class, now)))
 	at := all[class].next(now, now+max(0, r.Earliest, r.From), interval)
@@ -79,32 +74,21 @@
 
 // Held returns how many tokens to leave to callers that are about to claim a place within the given time, or are late: their number
 // and its usual deviation, as callers that another entry VM refused come here too; at least minHeld while any place is booked.
-func (s *Schedule) Held(k Key, within, now time.Duration) int {
-	due, booked := s.due(k, Classes, within, now)
+func (s *Schedule) Held(workspace string, within, now time.Duration) int {
+	due, booked := s.due(workspace, within, now)
 	if booked == 0 {
 		return 0
 	}
 	return max(minHeld, due+int(math.Ceil(math.Sqrt(float64(due)))))
 }
 
-// Behind returns how long what comes free goes to callers of the same or a greater urgency that are about to claim a place within the
-// given time, or are late.
-func (s *Schedule) Behind(k Key, priority int, within, now time.Duration) time.Duration {
-	free := s.Rate(k, now)
-	if free <= 0 {
-		return 0
-	}
-	due, _ := s.due(k, ClassOf(priority)+1, within, now)
-	return min(within+placeTTL, time.Duration(float64(due)/free*float64(time.Second)))
-}
-
-// due returns the number of places of the most urgent classes that are due within the given time, and of all that are booked.
-func (s *Schedule) due(k Key, classes int, within, now time.Duration) (due, booked int) {
-	all := s.lines[k]
+// due returns the number of places that are due within the given time, and of all that are booked.
+func (s *Schedule) due(workspace string, within, now time.Duration) (due, booked int) {
+	all := s.lines[workspace]
 	if all == nil {
 		return 0, 0
 	}
-	for i := range classes {
+	for i := range all {
 		all[i].advance(now)
 		due += all[i].due(now + within)
 		booked += len(all[i].places)
@@ -113,8 +97,8 @@
 }
 
 // Claim records that a caller returned: it takes a place that is due within the given time, if there is one.
-func (s *Schedule) Claim(k Key, priority int, within, now time.Duration) {
-	if all := s.lines[k]; all != nil {
+func (s *Schedule) Claim(workspace string, priority int, within, now time.Duration) {
+	if all := s.lines[workspace]; all != nil {
 		l := &all[ClassOf(priority)]
 		l.advance(now)
 		l.claim(now + within)
@@ -131,18 +115,18 @@
 	return n
 }
 
-// linesOf returns the lines of a key, without places that are over.
-func (s *Schedule) linesOf(k Key, now time.Duration) *[Classes]line {
-	all := s.lines[k]
+// linesOf returns the lines of a workspace, without places that are over.
+func (s *Schedule) linesOf(workspace string, now time.Duration) *[Classes]line {
+	all := s.lines[workspace]
 	if all == nil {
 		if s.lines == nil {
-			s.lines = map[Key]*[Classes]line{}
+			s.lines = map[string]*[Classes]line{}
 		}
 		if len(s.lines) >= maxLines {
 			s.dropOldest()
 		}
 		all = &[Classes]line{}
-		s.lines[k] = all
+		s.lines[workspace] = all
 	}
 	for i := range all {
 		all[i].advance(now)
@@ -152,11 +136,11 @@
 
 // dropOldest drops the lines that were used longest ago.
 func (s *Schedule) dropOldest() {
-	var oldest Key
+	var oldest string
 	var found *[Classes]line
-	for k, all := range s.lines {
+	for name, all := range s.lines {
 		if found == nil || all[0].usedAt < found[0].usedAt {
-			oldest, found = k, all
+			oldest, found = name, all
 		}
 	}
 	delete(s.lines, oldest)
--- a/pasteer/admit.go
+++ b/pasteer/admit.go
@@ -10,10 +10,6 @@
 // or would answer too late. A standing queue also counts where the choice knows of no wait, since the target's last load
 // report is then older than a run.
 func (b *Balancer) shouldRefuse(c Choice, q Request, now time.Time) bool {
-	if c.wait > 0 && q.Behind > 0 {
-		c.Load += q.Behind.Seconds() / b.expectedRun(q, true).Seconds()
-		c.finish += q.Behind
-	}
 	t := b.targets[c.Target]
 	if c.Load >= maxLoad && !(t != nil && b.waitsHere(t)) {
 		return true
--- a/pasteer/choose.go
+++ b/pasteer/choose.go
@@ -32,9 +32,6 @@
 	Deadline time.Time
 	// Priority is the urgency of the request; 0 is the most urgent.
 	Priority int
-	// Behind is how long the service works for callers that were told to return about now; the request goes behind them if it has to
-	// wait.
-	Behind time.Duration
 	// Direct is set if no other entry VM may take the request.
 	Direct bool
 	// NoSender is set if the request is not to be handed to the sender of its target: it was handed over already, or its body is
