paquota: a small share admits new requests behind reserved tokens

Cause: at least three tokens are left to callers that were told to return; a share that never holds four (a limit of 40 requests a second over 28 entry VMs) admitted no new request while the limiter was not reached, and each refusal booked the next place. Change: less than the depth of the share is reserved.

--- a/paquota/share.go
+++ b/paquota/share.go
@@ -65,8 +65,12 @@
 }
 
 // DecideBehind is Decide for a request that leaves a number of tokens to callers that were told to return about now.
+//
+// It leaves less than the depth of the share. A share of a few tokens would otherwise admit no new request until those callers came,
+// and some never come.
 func (s *Share) DecideBehind(reserved int, now time.Duration, reachable bool) Verdict {
 	s.state.advance(now)
+	reserved = min(reserved, max(0, int(s.state.bucket.Depth)-1))
 	switch {
 	case s.waiting == 0 && (reserved == 0 || s.state.available() > reserved) && s.state.take(1) == 1:
 		return Admit
