pagate: responses to requests without a body have the urgency of their request

Cause: the urgency by which a body takes from the budget was set only once a request's body was read, so that all responses to requests without one counted as the most urgent. Result: go test ./pagate of buffers passes with TestUrgencyOfRequestsWithoutABody.

--- a/pagate/buffer_test.go
+++ b/pagate/buffer_test.go
@@ -169,6 +169,15 @@
 	}
 }
 
+// Guards against responses to requests without a body that all count as the most urgent.
+func TestUrgencyOfRequestsWithoutABody(t *testing.T) {
+	g := bufferGate(true)
+	x := bufferExchange(g, 2)
+	if status, reason := g.readBody(x, httptest.NewRequest(http.MethodGet, "/", http.NoBody), paroute.Limits{}); status != 0 || x.hold.Priority != 2 {
+		t.Errorf("status %d, reason %q, priority %d", status, reason, x.hold.Priority)
+	}
+}
+
 // Guards against a response that breaks off and looks whole, as it was not held.
 func TestResponseThatBreaksOffWithoutABufferIsCutOff(t *testing.T) {
 	g := bufferGate(true)
--- a/pagate/front.go
+++ b/pagate/front.go
@@ -172,6 +172,7 @@
 // readBody reads up to maxBuffered bytes of the body. A status other than 0 is the response to a request whose body
 // is refused.
 func (g *Gate) readBody(x *exchange, r *http.Request, l paroute.Limits) (status int, reason string) {
+	x.hold.Priority = x.priority()
 	if l.MaxBody > 0 && r.ContentLength > l.MaxBody {
 		return http.StatusRequestEntityTooLarge, reasonTooLarge
 	}
@@ -182,11 +183,11 @@
 	if l.MaxBody > 0 {
 		body = http.MaxBytesReader(nil, r.Body, l.MaxBody)
 	}
-	x.hold.Priority = x.priority()
 	buffered, err := g.hold(x, body)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, pabuffer.ErrUsedUp):
+		x.hold.Release() // The rest of the body is still to be discarded, which takes a while.
 		return http.StatusServiceUnavailable, reasonBuffersFull
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusRequestTimeout, reasonDeadline
