pagate: a shutdown brings deadlines of waiting requests forward at once

And the token of a request whose caller left while it waited for a second attempt was returned though the first may have run. Change: deadlines are set when the shutdown begins; the token is kept once the request may have run.

--- a/pagate/waiting.go
+++ b/pagate/waiting.go
@@ -37,7 +37,9 @@
 	if c.Target == "" {
 		g.meter.countRoomRefusal(x.priority(), string(c.Reason))
 		if x.clientCtx.Err() != nil {
-			g.quotas.returnToken(x)
+			if !x.mayHaveExecuted {
+				g.quotas.returnToken(x)
+			}
 			g.recordEnd(x, 0, reasonClientGone)
 			panic(http.ErrAbortHandler)
 		}
@@ -118,6 +120,16 @@
 	}
 }
 
+// limitWaiting is limitByShutdown for all requests that wait when a shutdown begins: the next place may be free before their recheck.
+func (g *Gate) limitWaiting() {
+	g.balancerMutex.Lock()
+	defer g.balancerMutex.Unlock()
+	now := g.config.Clock.Now()
+	for _, w := range g.waiting {
+		g.limitByShutdown(w, now)
+	}
+}
+
 // updateWaiting applies a new configuration to the requests that wait. The balancerMutex must be held.
 func (g *Gate) updateWaiting(t *paroute.Table) {
 	for _, w := range g.waiting {
