--- a/pareturn/schedule.go
+++ b/pareturn/schedule.go
@@ -10,7 +10,7 @@
 	Classes = 3
 	// maxLines bounds the workspaces with places; the one that was used longest ago goes first.
 	maxLines = 512
-	// returnShare is the part of what comes free that is booked. The rest is for callers that come for the first time, which are
+	// returnShare is the part of the tokens that is booked. The rest is for callers that come for the first time, which are
 	// still answered within their target latency.
 	returnShare = 0.5
 	// urgentShare is the part of that for the most urgent class that books while others do; each other class has the rest.
--- a/pasteer/waiting.go
+++ b/pasteer/waiting.go
@@ -107,7 +107,7 @@
 	return w.Waits()
 }
 
-// refuse ends the wait of a request that is not sent.
+// refuse ends the wait of a request that is not sent from here: it is refused, or goes to a relay.
 func (b *Balancer) refuse(w *Waiter, c Choice) {
 	b.room.Remove(&w.item)
 	b.release(w, c)
