pagate: a request that a stopping process has no time for is refused as such

Cause: a request that waits at the sender of its target was refused there as TooLate when only that process's end came too soon; the entry VM that received it then refused it, though it may still be sent from elsewhere. Change: the reason is ShuttingDown, with the time after which callers of a stopping process return. Result: go test of pawaiting, pareturn, pabuffer, pasteer, paquota and the related tests of pagate pass.

--- a/pagate/waiting.go
+++ b/pagate/waiting.go
@@ -31,7 +31,7 @@
 		x.overtaken += w.Overtaken()
 		g.meter.countWait(x.priority(), g.config.Clock.Since(began), w.Overtaken())
 	}
-	c := w.Choice
+	c := w.decision()
 	x.lastChoice = c
 	g.meter.countChoice(c)
 	if c.Target == "" {
@@ -47,6 +47,16 @@
 	return c
 }
 
+// decision returns the choice once the wait is over. A request that only this process had no time for says so, since another entry VM
+// may still serve it.
+func (w *waitingRequest) decision() pasteer.Choice {
+	c := w.Choice
+	if c.Reason == pasteer.ReasonTooLate && w.Request.Deadline.Before(w.x.deadline) {
+		c.Reason, c.RetryAfter = pasteer.Reason(reasonShuttingDown), retryAfterShutdown
+	}
+	return c
+}
+
 // admitToRoom decides on a request that arrives. If it waits, it returns when to choose a target anew.
 func (g *Gate) admitToRoom(w *waitingRequest, now time.Time) (recheck time.Duration, waits bool) {
 	g.balancerMutex.Lock()
--- a/pagate/waiting_test.go
+++ b/pagate/waiting_test.go
@@ -12,7 +12,12 @@
 	g, clock, _ := returnGate(true)
 	g.config.Settings.GracePeriod = 10 * time.Second
 	now := clock.Now()
-	w := &waitingRequest{Waiter: pasteer.Waiter{Request: pasteer.Request{Deadline: now.Add(time.Minute)}}}
+	x := &exchange{deadline: now.Add(time.Minute)}
+	w := &waitingRequest{x: x, Waiter: pasteer.Waiter{Request: pasteer.Request{Deadline: x.deadline}}}
+	w.Choice.Reason = pasteer.ReasonTooLate
+	if c := w.decision(); c.Reason != pasteer.ReasonTooLate {
+		t.Errorf("before the shutdown the reason is %s", c.Reason)
+	}
 	g.waiting[&w.Waiter] = w
 	g.shutdownAt.Store(now.UnixNano())
 	g.shuttingDown.Store(true)
@@ -20,4 +25,7 @@
 	if left := w.Request.Deadline.Sub(now); left != 10*time.Second-killMargin-cancelMargin {
 		t.Errorf("the request may still be answered within %v", left)
 	}
+	if c := w.decision(); c.Reason != pasteer.Reason(reasonShuttingDown) {
+		t.Errorf("the reason is %s, by which no other entry VM is tried", c.Reason)
+	}
 }
