pagate: a sender without memory for a body leaves the request to the entry VM that received it

Cause: 503 BuffersFull of a sender became the caller's answer, though the entry VM that received the request holds its body and may send it. Change: it counts as a refusal for what the sender holds alone. Result: related tests of pagate pass with TestSenderWithoutMemoryIsNoReasonToRefuse.

--- a/pagate/sender.go
+++ b/pagate/sender.go
@@ -49,12 +49,12 @@
 	return g.balancer.StartSender(x.lastChoice, x.balancerRequest(), now)
 }
 
-// isOwnRefusal reports whether a sender refused a request for what it knows or holds alone: its configuration and paths, and its share
-// of what cold and limited targets bear. The entry VM that received the request may still send it. Any other refusal tells of load.
+// isOwnRefusal reports whether a sender refused a request for what it knows or holds alone: its configuration and paths, its memory,
+// and its share of what cold and limited targets bear. The entry VM that received the request may still send it. Any other refusal tells of load.
 func (r *relayReply) isOwnRefusal() bool {
 	switch r.Reason {
 	case string(pasteer.ReasonNoTarget), string(pasteer.ReasonCold), string(pasteer.ReasonLimited), string(pasteer.ReasonPushback),
-		reasonShuttingDown, reasonBehindConfig, reasonNoRoute, reasonUnknownWorkspace:
+		reasonShuttingDown, reasonBehindConfig, reasonNoRoute, reasonUnknownWorkspace, reasonBuffersFull:
 		return true
 	}
 	return false
--- a/pagate/waiting_test.go
+++ b/pagate/waiting_test.go
@@ -29,3 +29,12 @@
 		t.Errorf("the reason is %s, by which no other entry VM is tried", c.Reason)
 	}
 }
+
+// Guards against a request that is refused for the memory of its target's sender although the entry VM that received it holds its body.
+func TestSenderWithoutMemoryIsNoReasonToRefuse(t *testing.T) {
+	for reason, want := range map[string]bool{reasonBuffersFull: true, string(pasteer.ReasonRoomFull): false} {
+		if got := (&relayReply{Reason: reason}).isOwnRefusal(); got != want {
+			t.Errorf("%s: %v", reason, got)
+		}
+	}
+}
