--- a/pagate/waiting.go
+++ b/pagate/waiting.go
@@ -31,13 +31,15 @@
 		x.overtaken += w.Overtaken()
 		g.meter.countWait(x.priority(), g.config.Clock.Since(began), w.Overtaken())
 	}
-	c := w.Choice
+	c := w.decision()
 	x.lastChoice = c
 	g.meter.countChoice(c)
 	if c.Target == "" {
 		g.meter.countRoomRefusal(x.priority(), string(c.Reason))
 		if x.clientCtx.Err() != nil {
-			g.quotas.returnToken(x)
+			if !x.mayHaveExecuted {
+				g.quotas.returnToken(x)
+			}
 			g.recordEnd(x, 0, reasonClientGone)
 			panic(http.ErrAbortHandler)
 		}
@@ -45,6 +47,16 @@
 	return c
 }
 
+// decision returns the choice once the wait is over. A request that only this process had no time for says so, since another entry VM
+// may still serve it.
+func (w *waitingRequest) decision() pasteer.Choice {
+	c := w.Choice
+	if c.Reason == pasteer.ReasonTooLate && w.Request.Deadline.Before(w.x.deadline) {
+		c.Reason, c.RetryAfter = pasteer.Reason(reasonShuttingDown), retryAfterShutdown
+	}
+	return c
+}
+
 // admitToRoom decides on a request that arrives. If it waits, it returns when to choose a target anew.
 func (g *Gate) admitToRoom(w *waitingRequest, now time.Time) (recheck time.Duration, waits bool) {
 	g.balancerMutex.Lock()
@@ -118,6 +130,16 @@
 	}
 }
 
+// limitWaiting is limitByShutdown for all requests that wait when a shutdown begins: the next place may be free before their recheck.
+func (g *Gate) limitWaiting() {
+	g.balancerMutex.Lock()
+	defer g.balancerMutex.Unlock()
+	now := g.config.Clock.Now()
+	for _, w := range g.waiting {
+		g.limitByShutdown(w, now)
+	}
+}
+
 // updateWaiting applies a new configuration to the requests that wait. The balancerMutex must be held.
 func (g *Gate) updateWaiting(t *paroute.Table) {
 	for _, w := range g.waiting {
--- /dev/null
+++ b/pagate/waiting_test.go
@@ -0,0 +1,40 @@
+package pagate
+
+import (
+	"testing"
+	"time"
+
+	"papayahead/pasteer"
+)
+
+// Guards against a request that waits when a shutdown begins and is sent too late to complete before the process ends.
+func TestShutdownBringsDeadlinesOfWaitingRequestsForward(t *testing.T) {
+	g, clock, _ := returnGate(true)
+	g.config.Settings.GracePeriod = 10 * time.Second
+	now := clock.Now()
+	x := &exchange{deadline: now.Add(time.Minute)}
+	w := &waitingRequest{x: x, Waiter: pasteer.Waiter{Request: pasteer.Request{Deadline: x.deadline}}}
+	w.Choice.Reason = pasteer.ReasonTooLate
+	if c := w.decision(); c.Reason != pasteer.ReasonTooLate {
+		t.Errorf("before the shutdown the reason is %s", c.Reason)
+	}
+	g.waiting[&w.Waiter] = w
+	g.shutdownAt.Store(now.UnixNano())
+	g.shuttingDown.Store(true)
+	g.limitWaiting()
+	if left := w.Request.Deadline.Sub(now); left != 10*time.Second-killMargin-cancelMargin {
+		t.Errorf("the request may still be answered within %v", left)
+	}
+	if c := w.decision(); c.Reason != pasteer.Reason(reasonShuttingDown) {
+		t.Errorf("the reason is %s, by which no other entry VM is tried", c.Reason)
+	}
+}
+
+// Guards against a request that is refused for the memory of its target's sender although the entry VM that received it holds its body.
+func TestSenderWithoutMemoryIsNoReasonToRefuse(t *testing.T) {
+	for reason, want := range map[string]bool{reasonBuffersFull: true, string(pasteer.ReasonRoomFull): false} {
+		if got := (&relayReply{Reason: reason}).isOwnRefusal(); got != want {
+			t.Errorf("%s: %v", reason, got)
+		}
+	}
+}
