--- a/paload/accuracy.go
+++ b/paload/accuracy.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// AgeClass classes beliefs by the age of the latest response that they rest on.
+// AgeClass groups beliefs by the age of the latest response behind them.
 type AgeClass int
 
 // The age classes.
@@ -27,7 +27,7 @@
 // String returns the name of the class in metrics.
 func (c AgeClass) String() string { return [...]string{"Fresh", "Recent", "Old", "Never"}[c] }
 
-// Accuracy sums by age how far the believed load was from what a response told; the zero value is ready for use.
+// Accuracy sums, by age, the difference between the believed load and the one that a response reported; the zero value is ready for use.
 type Accuracy struct {
 	Responses [ageClasses]uint64
 	// Error is the sum of the differences, in requests.
--- a/paload/belief.go
+++ b/paload/belief.go
@@ -10,32 +10,32 @@
 	// others is how many requests of other entry VMs were there at otherAt, by the latest response that is known.
 	others  float64
 	otherAt time.Time
-	// usual is a moving average of others over usualLife.
-	usual float64
+	// average is a moving average of others over averageLife.
+	average float64
 	// slowness is the factor that the target reported at slowAt; 0 if it reported none.
 	slowness float64
 	slowAt   time.Time
-	// noted is the latest note on the target that neighbours have or will get.
-	noted noted
+	// lastNote is the latest note on the target that neighbours have or will get.
+	lastNote advertised
 }
 
-// noted is a load of all entry VMs and a slowness that neighbours know, and since when.
-type noted struct {
+// advertised is a load of all entry VMs and a slowness that neighbours know, and since when.
+type advertised struct {
 	load, slowness float64
 	at             time.Time
 }
 
 const (
-	// usualLife is the time over which the load of a target is averaged: several runs, and less than a burst.
-	usualLife = 5 * time.Second
-	// unheardLife is the time in which the usual load is forgotten of a target from which nothing is heard: nobody uses it then.
+	// averageLife is the time over which the load of a target is averaged: several runs, and less than a burst.
+	averageLife = 5 * time.Second
+	// unheardLife is the time in which the average load is forgotten if nothing is heard of the target: it is then hardly used.
 	unheardLife = 10 * time.Second
 	// defaultRun is the time of a run before the first one.
 	defaultRun = 500 * time.Millisecond
 )
 
-// Others estimates how many requests of other entry VMs are at the target. What was there gets done in about the time of its queue;
-// what comes instead is about the usual.
+// Others estimates how many requests of other entry VMs are at the target. The observed requests leave
+// in about the time that the queue takes, and the average load takes their place.
 func (b *Belief) Others(m *Model, slots float64, now time.Time) float64 {
 	if b.otherAt.IsZero() {
 		return 0
@@ -47,12 +47,12 @@
 func (b *Belief) expect(m *Model, others float64, at time.Time, slots float64, now time.Time) float64 {
 	age := max(0, now.Sub(at))
 	left := decay(age, m.queueLife(others, slots))
-	return others*left + b.usual*decay(age, unheardLife)*(1-left)
+	return others*left + b.average*decay(age, unheardLife)*(1-left)
 }
 
-// Known returns how many requests of other entry VMs that were at the target presumably still are. Unlike Others it counts none that
-// may have come since: a request is not refused because of those.
-func (b *Belief) Known(m *Model, slots float64, now time.Time) float64 {
+// Remaining estimates how many of the requests of other entry VMs that were last observed at the target are still there. Unlike Others
+// it counts none that may have come since: a request is not refused because of those.
+func (b *Belief) Remaining(m *Model, slots float64, now time.Time) float64 {
 	if b.otherAt.IsZero() {
 		return 0
 	}
@@ -64,7 +64,7 @@
 	return max(0, now.Sub(b.otherAt)), !b.otherAt.IsZero()
 }
 
-// IsFresh reports whether the load is still closer to the one that was told than to the usual.
+// IsFresh reports whether the load is still closer to the last one observed than to the average.
 func (b *Belief) IsFresh(m *Model, slots float64, now time.Time) bool {
 	age, known := b.Age(now)
 	return known && decay(age, m.queueLife(b.others, slots)) >= 0.5
@@ -110,9 +110,9 @@
 func (b *Belief) set(others float64, at time.Time) {
 	others = max(0, others)
 	if b.otherAt.IsZero() {
-		b.usual = others
+		b.average = others
 	} else {
-		b.usual += (others - b.usual) * (1 - decay(max(0, at.Sub(b.otherAt)), usualLife))
+		b.average += (others - b.average) * (1 - decay(max(0, at.Sub(b.otherAt)), averageLife))
 	}
 	b.others, b.otherAt = others, at
 }
--- a/paload/belief_test.go
+++ b/paload/belief_test.go
@@ -33,10 +33,10 @@
 	now := at(20 * time.Second)
 	short.Observe(2, slots, now)
 	long.Observe(12, slots, now)
-	if got := short.Known(m, slots, now.Add(run)); math.Abs(got-2/math.E) > 0.01 {
+	if got := short.Remaining(m, slots, now.Add(run)); math.Abs(got-2/math.E) > 0.01 {
 		t.Errorf("two requests at three slots: %.2f left after a run, want %.2f", got, 2/math.E)
 	}
-	if got := long.Known(m, slots, now.Add(4*run)); math.Abs(got-12/math.E) > 0.01 {
+	if got := long.Remaining(m, slots, now.Add(4*run)); math.Abs(got-12/math.E) > 0.01 {
 		t.Errorf("twelve requests at three slots: %.2f left after four runs, want %.2f", got, 12/math.E)
 	}
 	if got := long.Others(m, slots, now.Add(time.Minute)); got > 0.1 {
@@ -56,7 +56,7 @@
 	if got := b.Others(m, slots, now.Add(2*time.Second)); got < 4 || got > 6 {
 		t.Errorf("%.2f requests two seconds after the last word, want about the usual six", got)
 	}
-	if got := b.Known(m, slots, now.Add(2*time.Second)); got != 0 {
+	if got := b.Remaining(m, slots, now.Add(2*time.Second)); got != 0 {
 		t.Errorf("%.2f requests count as known, want none: a request would be refused for those that may have come", got)
 	}
 	if !b.IsFresh(m, slots, now.Add(run/2)) || b.IsFresh(m, slots, now.Add(2*run)) {
@@ -94,8 +94,8 @@
 func TestZeroValues(t *testing.T) {
 	var m Model
 	var b Belief
-	if b.Others(&m, slots, begin) != 0 || b.Known(&m, slots, begin) != 0 || b.Slowness(&m, begin) != 1 || b.IsFresh(&m, slots, begin) {
-		t.Errorf("a belief that knows nothing says %v, %v, %v", b.Others(&m, slots, begin), b.Known(&m, slots, begin), b.Slowness(&m, begin))
+	if b.Others(&m, slots, begin) != 0 || b.Remaining(&m, slots, begin) != 0 || b.Slowness(&m, begin) != 1 || b.IsFresh(&m, slots, begin) {
+		t.Errorf("a belief that knows nothing says %v, %v, %v", b.Others(&m, slots, begin), b.Remaining(&m, slots, begin), b.Slowness(&m, begin))
 	}
 	b.ObserveSlowness(&m, 0, begin)
 	if got := b.Slowness(&m, begin); got != 1 {
@@ -108,7 +108,7 @@
 	m := model()
 	var b Belief
 	b.Observe(1e9, slots, begin)
-	if got := b.Known(m, slots, begin); got != maxLoadPerSlot*slots {
+	if got := b.Remaining(m, slots, begin); got != maxLoadPerSlot*slots {
 		t.Errorf("%v requests, want %v at most", got, maxLoadPerSlot*slots)
 	}
 	if got := b.Others(m, slots, at(time.Minute)); got > slots {
--- a/paload/model.go
+++ b/paload/model.go
@@ -47,15 +47,15 @@
 	maxChanges = 64
 	// defaultChanges is how many changes the default counts for.
 	defaultChanges = 2
-	// usualSlowness is up to what distance from 1 work is as fast as usual, and sameSlowness the largest difference of two values
+	// normalSlowness is up to what distance from 1 work is as fast as usual, and sameSlowness the largest difference of two values
 	// that are the same. A target that is as usual mostly stays so, which says nothing of how long slowness lasts.
-	usualSlowness = 0.1
-	sameSlowness  = 0.1
+	normalSlowness = 0.1
+	sameSlowness   = 0.1
 )
 
 // learnSlowness takes the slowness that two successive responses of a target told, and the time between them.
 func (m *Model) learnSlowness(before, after float64, gap time.Duration) {
-	if before == 0 || abs(before-1) <= usualSlowness || gap <= 0 || gap > maxSlowGap {
+	if before == 0 || abs(before-1) <= normalSlowness || gap <= 0 || gap > maxSlowGap {
 		return
 	}
 	m.slowFor += gap
--- a/paload/note.go
+++ b/paload/note.go
@@ -50,32 +50,32 @@
 	if n.Slowness > 0 && at.After(b.slowAt) {
 		b.slowness, b.slowAt = n.Slowness, at
 	}
-	b.noted = noted{load: n.Load, slowness: b.slowness, at: at}
+	b.lastNote = advertised{load: n.Load, slowness: b.slowness, at: at}
 	return true
 }
 
-// Tell reports whether neighbours should be told of the load that was just observed, and takes it for told if so. They need not know
-// what they expect anyway, from the latest note and the usual load.
-func (b *Belief) Tell(m *Model, load, slots float64, now time.Time) bool {
-	if !b.noted.at.IsZero() && now.Sub(b.noted.at) < minAdvance {
+// Advertise reports whether to send neighbours a note on the load that was just observed, and if so records it as sent. A load that they
+// expect anyway, by the latest note and the average load, needs none.
+func (b *Belief) Advertise(m *Model, load, slots float64, now time.Time) bool {
+	if !b.lastNote.at.IsZero() && now.Sub(b.lastNote.at) < minAdvance {
 		return false
 	}
-	expected, slow := b.expectNoted(m, slots, now)
+	expected, slow := b.expectAdvertised(m, slots, now)
 	reported := b.SlownessAt(now)
-	if abs(waiting(expected, slots)-waiting(load, slots)) < noticeable && (reported == 0 || abs(reported-slow) < noticeableSlowness) {
+	if abs(queueTime(expected, slots)-queueTime(load, slots)) < noticeable && (reported == 0 || abs(reported-slow) < noticeableSlowness) {
 		return false
 	}
-	b.noted = noted{load: load, slowness: reported, at: now}
+	b.lastNote = advertised{load: load, slowness: reported, at: now}
 	return true
 }
 
-// expectNoted estimates the load and slowness that neighbours expect by the latest note.
-func (b *Belief) expectNoted(m *Model, slots float64, now time.Time) (load, slowness float64) {
-	if b.noted.at.IsZero() {
+// expectAdvertised estimates the load and slowness that neighbours expect by the latest note.
+func (b *Belief) expectAdvertised(m *Model, slots float64, now time.Time) (load, slowness float64) {
+	if b.lastNote.at.IsZero() {
 		return 0, 1
 	}
-	return b.expect(m, b.noted.load, b.noted.at, slots, now), fade(b.noted.slowness, now.Sub(b.noted.at), m.slowLife())
+	return b.expect(m, b.lastNote.load, b.lastNote.at, slots, now), fade(b.lastNote.slowness, now.Sub(b.lastNote.at), m.slowLife())
 }
 
-// waiting is the time in runs that the next request waits. Among targets with a free slot the load decides nothing.
-func waiting(load, slots float64) float64 { return max(0, load+1-slots) / max(1, slots) }
+// queueTime is the time in runs that the next request waits. It is 0 at any target with a free slot, whatever its load.
+func queueTime(load, slots float64) float64 { return max(0, load+1-slots) / max(1, slots) }
--- a/paload/note_test.go
+++ b/paload/note_test.go
@@ -79,7 +79,7 @@
 	tell := func(load, slowness float64, now time.Time) bool {
 		b.ObserveSlowness(m, slowness, now)
 		b.Observe(load, slots, now)
-		return b.Tell(m, load, slots, now)
+		return b.Advertise(m, load, slots, now)
 	}
 	for _, c := range []struct {
 		name           string
--- a/paload/replay_test.go
+++ b/paload/replay_test.go
@@ -113,7 +113,7 @@
 	others := float64(len(r.queue) - e.own)
 	e.lastOthers, e.lastAt = others, at(now)
 	e.belief.Observe(others, slots, at(now))
-	if e.belief.Tell(r.model, others+float64(e.own), slots, at(now)) {
+	if e.belief.Advertise(r.model, others+float64(e.own), slots, at(now)) {
 		e.log.Add(Note{Key: 1, Load: others + float64(e.own)}, true, at(now))
 	}
 }
--- a/pasteer/admit.go
+++ b/pasteer/admit.go
@@ -51,7 +51,7 @@
 // knows of no wait, the last load report is old and the reported load is taken to decrease linearly.
 func (t *target) queuedOtherLoad(now time.Time, waitKnown bool) float64 {
 	if m := t.loadModel(); m != nil {
-		return t.belief.Known(m, t.slots(), now)
+		return t.belief.Remaining(m, t.slots(), now)
 	}
 	age := now.Sub(t.otherLoadAt)
 	switch {
--- a/pasteer/loadbelief.go
+++ b/pasteer/loadbelief.go
@@ -82,7 +82,7 @@
 	}
 	t.belief.Observe(t.otherLoad, t.slots(), now)
 	load := t.otherLoad + float64(t.inFlight)
-	if b.loadKeys[t.loadKey] == t && t.belief.Tell(m, load, t.slots(), now) {
+	if b.loadKeys[t.loadKey] == t && t.belief.Advertise(m, load, t.slots(), now) {
 		b.loadLog.Add(paload.Note{Key: t.loadKey, Load: load, Slowness: t.belief.SlownessAt(now)}, true, now)
 	}
 }
--- a/pasteer/pick.go
+++ b/pasteer/pick.go
@@ -137,10 +137,10 @@
 // otherLoadTTL is how long a target's load report counts: about the time of a warm run.
 const otherLoadTTL = 500 * time.Millisecond
 
-// knownLoad is load without the requests that may have come since the last report: a request waits for none of those.
-func (t *target) knownLoad(now time.Time) float64 {
+// remainingLoad is load without the requests that may have come since the last report: a request waits for none of those.
+func (t *target) remainingLoad(now time.Time) float64 {
 	if m := t.loadModel(); m != nil {
-		return float64(t.inFlight) + t.belief.Known(m, t.slots(), now)
+		return float64(t.inFlight) + t.belief.Remaining(m, t.slots(), now)
 	}
 	return t.load(now)
 }
--- a/pasteer/waiting.go
+++ b/pasteer/waiting.go
@@ -263,5 +263,5 @@
 	if q.Priority <= b.mostUrgent && b.mostUrgent < b.leastUrgent {
 		places++
 	}
-	return t.knownLoad(now) < places
+	return t.remainingLoad(now) < places
 }
