--- a/pagate/answer.go
+++ b/pagate/answer.go
@@ -120,7 +120,7 @@
 }
 
 // refuse responds 503 with a Retry-After to a request that was not executed. retryAfter is extended by
-// the jitter unless it is a booked place.
+// the jitter unless it is reserved.
 func (g *Gate) refuse(w http.ResponseWriter, x *exchange, reason string, retryAfter time.Duration) {
 	g.refuseWithStatus(w, x, http.StatusServiceUnavailable, reason, retryAfter)
 }
@@ -132,7 +132,7 @@
 		Outcome: relayNotRun, Reason: reason, RetryMicroseconds: retryAfter.Microseconds(), Elsewhere: g.saidElsewhere(x, reason),
 	})
 	factor := 1.0
-	if !x.booked {
+	if !x.reserved {
 		factor += retryAfterJitter * g.random()
 	}
 	seconds := retryAfter.Seconds() * factor
--- a/pagate/buffer_test.go
+++ b/pagate/buffer_test.go
@@ -162,7 +162,7 @@
 	w := httptest.NewRecorder()
 	g.config.Random = nil
 	x := bufferExchange(g, 0)
-	x.booked = true
+	x.reserved = true
 	g.refuseBody(w, x, http.StatusServiceUnavailable, reasonBuffersFull)
 	if w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
 		t.Errorf("status %d, headers %v", w.Code, w.Header())
--- a/pagate/returning.go
+++ b/pagate/returning.go
@@ -13,11 +13,11 @@
 	"papayahead/pareturn"
 )
 
-// tokenHold is how long before the time of a place its token is left in the share, and returnPatience how long a caller that returns
-// waits for the pool, which grants tokens now and then.
+// reservationLead is how long before the time of a reservation its token is kept in the share, and returnPatience how long a
+// caller that returns waits for the pool, which grants tokens now and then.
 const (
-	tokenHold      = 100 * time.Millisecond
-	returnPatience = limiterWait - 2*minCallInterval
+	reservationLead = 100 * time.Millisecond
+	returnPatience  = limiterWait - 2*minCallInterval
 )
 
 // returns is when callers return that this entry VM refused.
@@ -31,11 +31,11 @@
 type returning struct {
 	// contended says that the request's route has a contended service; the rest is not used otherwise.
 	contended bool
-	// told is the time that the caller has, by its own header. returned says that it returns as one does that has a place.
+	// told is the time that the caller has, by its own header. returned says that it returns like one with a reservation.
 	told     time.Duration
 	returned bool
-	// booked says that the refused caller has a place.
-	booked bool
+	// reserved says that the refused caller has a reservation.
+	reserved bool
 }
 
 // noteReturn sets what is known of the request's earlier attempts.
@@ -50,30 +50,30 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.deadlines.Note(x.route.Name, x.told, g.uptime())
-	x.returned = r.deadlines.HadPlace(x.route.Name, x.told)
+	x.returned = r.deadlines.HasReservation(x.route.Name, x.told)
 }
 
 // noteAdmitted counts a token of the request's workspace.
 func (g *Gate) noteAdmitted(x *exchange) {
 	if x.hasToken {
-		g.countFree(x)
+		g.countToken(x)
 	}
 }
 
-func (g *Gate) countFree(x *exchange) {
+func (g *Gate) countToken(x *exchange) {
 	if !x.contended {
 		return
 	}
 	g.returns.mutex.Lock()
 	defer g.returns.mutex.Unlock()
-	g.returns.schedule.CountFree(x.workspaceName(), g.uptime())
+	g.returns.schedule.CountToken(x.workspaceName(), g.uptime())
 }
 
 // refuseLimited responds 429 to a request of a workspace at its limit. The caller gets the time of a token.
 func (g *Gate) refuseLimited(w http.ResponseWriter, x *exchange, s *state, retryAfter time.Duration) {
 	if x.contended {
 		share, reachable := g.division(x.workspace, s).Share.Rate, g.quotas.limiterReachable()
-		retryAfter = g.book(x, retryAfter, func(measured float64) float64 {
+		retryAfter = g.reserve(x, retryAfter, func(measured float64) float64 {
 			if !reachable {
 				return share // What came before were tokens of the pool as well.
 			}
@@ -83,9 +83,9 @@
 	g.refuseWithStatus(w, x, http.StatusTooManyRequests, reasonRateLimit, retryAfter)
 }
 
-// book books a place for a refused caller and returns the time until then. rateOf returns how many tokens come in a second by how
+// reserve reserves a token for a refused caller and returns the time until then. rateOf returns how many tokens come in a second by how
 // many were measured.
-func (g *Gate) book(x *exchange, earliest time.Duration, rateOf func(float64) float64) time.Duration {
+func (g *Gate) reserve(x *exchange, earliest time.Duration, rateOf func(float64) float64) time.Duration {
 	now, passed := g.uptime(), g.config.Clock.Since(x.arrived)
 	r := &g.returns
 	r.mutex.Lock()
@@ -93,13 +93,13 @@
 	left := x.deadline.Sub(x.arrived) - passed
 	from, to := r.deadlines.Window(x.route.Name, max(left, x.told-passed))
 	r.deadlines.NoteRefused(x.route.Name, now)
-	c := r.schedule.Book(pareturn.Refused{
+	c := r.schedule.Reserve(pareturn.Refused{
 		Workspace: x.workspaceName(), Priority: x.priority(), Rate: rateOf(r.schedule.Rate(x.workspaceName(), now)), Earliest: earliest,
 		Left: left, From: from, To: to,
 	}, now)
-	x.booked = c.Booked
+	x.reserved = c.Reserved
 	kind := returnTold
-	if c.Booked {
+	if c.Reserved {
 		kind = returnBooked
 	}
 	g.meter.returnsTold(pareturn.ClassOf(x.priority()), kind).Inc()
@@ -107,7 +107,7 @@
 }
 
 // decide decides on a request. In a contended deployment one that returns as it was told goes first, and others leave it the token
-// that was booked.
+// that was reserved.
 func (l *rateShares) decide(x *exchange, h *rateShare, now time.Duration) paquota.Verdict {
 	reachable := l.reachable(now)
 	if !x.contended {
@@ -117,10 +117,10 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if x.returned {
-		r.schedule.Claim(name, x.priority(), tokenHold, now)
+		r.schedule.Claim(name, x.priority(), reservationLead, now)
 		return h.DecideReturn(now, reachable, returnPatience)
 	}
-	return h.DecideBehind(r.schedule.Held(name, tokenHold, now), now, reachable)
+	return h.DecideBehind(r.schedule.TokensToKeep(name, reservationLead, now), now, reachable)
 }
 
 // limiterReachable is reachable without the mutex.
@@ -140,7 +140,7 @@
 	h.returned++
 }
 
-// returnsTold counts callers that were told when to return; returned counts requests that came as those with a place do.
+// returnsTold counts callers that were told when to return; returned counts requests that came as those with a reservation do.
 func (m *meter) returnsTold(class int, kind string) *metrics.Counter {
 	return m.set.GetOrCreateCounter(`papayahead_gate_returns_total{priority="` + strconv.Itoa(class) + `",kind="` + kind + `"}`)
 }
@@ -169,11 +169,11 @@
 	m.set.NewGauge("papayahead_gate_return_places", func() float64 {
 		g.returns.mutex.Lock()
 		defer g.returns.mutex.Unlock()
-		return float64(g.returns.schedule.Booked(g.uptime()))
+		return float64(g.returns.schedule.Reservations(g.uptime()))
 	})
 }
 
-// countReturned counts a request that returned as one does that has a place.
+// countReturned counts a request that returned like one with a reservation.
 func (m *meter) countReturned(status int) {
 	if status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable {
 		m.returned(returnedRefused).Inc()
--- a/pagate/returning_test.go
+++ b/pagate/returning_test.go
@@ -60,11 +60,11 @@
 		if got := w.Header().Get("Retry-After"); got != want || w.Code != status {
 			t.Errorf("refusal %d: status %d, told %s, want %s", i, w.Code, got, want)
 		}
-		if x.returned || x.booked {
+		if x.returned || x.reserved {
 			t.Errorf("refusal %d: %+v", i, x.returning)
 		}
 	}
-	if n := g.returns.schedule.Booked(g.uptime()); n != 0 {
+	if n := g.returns.schedule.Reservations(g.uptime()); n != 0 {
 		t.Errorf("%d places are booked", n)
 	}
 }
@@ -90,7 +90,7 @@
 	for _, reason := range []pasteer.Reason{pasteer.ReasonNoTarget, pasteer.ReasonFull} {
 		w := httptest.NewRecorder()
 		g.answerNoTarget(w, returnExchange(g, 3*time.Second), pasteer.Choice{Reason: reason, RetryAfter: 700 * time.Millisecond})
-		if got := retryAfterOf(w); got < 0.7 || got > 1.05 || g.returns.schedule.Booked(g.uptime()) != 3 {
+		if got := retryAfterOf(w); got < 0.7 || got > 1.05 || g.returns.schedule.Reservations(g.uptime()) != 3 {
 			t.Errorf("%s: the caller is told %v", reason, got)
 		}
 	}
--- a/pareturn/deadline.go
+++ b/pareturn/deadline.go
@@ -8,11 +8,11 @@
 const (
 	// honouredDivisor is the divisor of the time left that yields the longest time for which a caller waits.
 	honouredDivisor = 3
-	// placeFraction is the part of that up to which a place may lie ahead: the rest is for the way.
-	placeFraction = 0.9
-	// wayTime is what a caller's new connection and its request may take.
-	wayTime = 100 * time.Millisecond
-	// latestReturn is the part of the longest deadline that a caller with a place still has when it returns. One without a place
+	// reservationFraction is the part of that up to which a reservation may lie ahead. The rest is for the connection and the request.
+	reservationFraction = 0.9
+	// connectTime is what a caller's new connection and its request may take.
+	connectTime = 100 * time.Millisecond
+	// latestReturn is the part of the longest deadline that a caller with a reservation still has when it returns. One without
 	// waits for a third of its time, and has less.
 	latestReturn = 0.68
 	// samples is how many deadlines of first attempts are kept for a route, minSamples how many tell where they lie.
@@ -59,27 +59,27 @@
 	r.refused, r.refusedAt = true, now
 }
 
-// HadPlace reports whether a caller with the given time left returns as one does that has a place.
-func (d *Deadlines) HadPlace(route string, left time.Duration) bool {
+// HasReservation reports whether a caller with the given time left returns like one with a reservation.
+func (d *Deadlines) HasReservation(route string, left time.Duration) bool {
 	r := d.byRoute[route]
 	return r.known() && left < r.shortest && left > r.latest()
 }
 
-// Window returns between which times a caller with the given time left may have a place: it waits that long, and is known when it
-// returns. If the deadlines of the route are not known, or too different, no caller is known by its time left.
+// Window returns between which times a caller with the given time left may have a reservation: it waits that long, and is recognized when it
+// returns. If the deadlines of the route are unknown or differ too much, no caller can be recognized by its time left.
 func (d *Deadlines) Window(route string, left time.Duration) (from, to time.Duration) {
-	to = time.Duration(placeFraction * float64(left/honouredDivisor))
+	to = time.Duration(reservationFraction * float64(left/honouredDivisor))
 	if r := d.byRoute[route]; r.known() {
-		from, to = max(0, left-r.shortest), min(to, left-r.latest()-wayTime)
+		from, to = max(0, left-r.shortest), min(to, left-r.latest()-connectTime)
 	}
 	return from, to
 }
 
 func (r *routeDeadlines) known() bool {
-	return r != nil && len(r.told) >= minSamples && r.latest()+wayTime < r.shortest
+	return r != nil && len(r.told) >= minSamples && r.latest()+connectTime < r.shortest
 }
 
-// latest returns the least time that a caller with a place has when it returns.
+// latest returns the least time that a caller with a reservation has when it returns.
 func (r *routeDeadlines) latest() time.Duration {
 	return time.Duration(latestReturn * float64(r.longest))
 }
--- a/pareturn/limit_replay_test.go
+++ b/pareturn/limit_replay_test.go
@@ -16,7 +16,7 @@
 	tolerance paquota.Tolerance
 	pool      *paquota.Pool
 	all       []*replayEntry
-	// booking switches places on; otherwise callers get the share's time and half of it at random. silent cuts off the limiter.
+	// booking switches reservations on; otherwise callers get the share's time and half of it at random. silent cuts off the limiter.
 	booking, silent bool
 	// coming are the callers under way to an entry VM, by the millisecond.
 	coming map[time.Duration][]replayCaller
@@ -107,7 +107,7 @@
 	e := m.all[m.random.IntN(len(m.all))]
 	left := c.sent + c.whole - now
 	e.deadlines.Note("r", left, now)
-	returns := m.booking && e.deadlines.HadPlace("r", left)
+	returns := m.booking && e.deadlines.HasReservation("r", left)
 	reachable := !m.silent || now < 10*time.Second
 	var v paquota.Verdict
 	switch {
@@ -115,7 +115,7 @@
 		e.schedule.Claim(replayWorkspace, 0, ms(100), now)
 		v = e.share.DecideReturn(now, reachable, ms(320))
 	default:
-		v = e.share.DecideBehind(e.schedule.Held(replayWorkspace, ms(100), now), now, reachable)
+		v = e.share.DecideBehind(e.schedule.TokensToKeep(replayWorkspace, ms(100), now), now, reachable)
 	}
 	switch w := (replayWaiter{c, now + replayWait}); {
 	case v == paquota.Admit:
@@ -174,7 +174,7 @@
 }
 
 func (m *limitReplay) served(e *replayEntry, c replayCaller, now time.Duration) {
-	e.schedule.CountFree(replayWorkspace, now)
+	e.schedule.CountToken(replayWorkspace, now)
 	m.count(c, 1)
 }
 
@@ -203,17 +203,17 @@
 		}
 		from, to := e.deadlines.Window("r", left)
 		e.deadlines.NoteRefused("r", now)
-		told = e.schedule.Book(Refused{Workspace: replayWorkspace, Rate: rate, Earliest: told.After, Left: left, From: from, To: to}, now)
+		told = e.schedule.Reserve(Refused{Workspace: replayWorkspace, Rate: rate, Earliest: told.After, Left: left, From: from, To: to}, now)
 	} else {
 		told.After += time.Duration(m.random.Float64() / 2 * float64(told.After))
-		told.Booked = told.After <= left/honouredDivisor
+		told.Reserved = told.After <= left/honouredDivisor
 	}
-	if !told.Booked {
+	if !told.Reserved {
 		m.tally.deferred++
 	}
 	at := now + min(told.After, left/honouredDivisor) + time.Duration(1+m.random.IntN(30))*time.Millisecond
 	at = at.Round(time.Millisecond)
-	m.coming[at] = append(m.coming[at], replayCaller{sent: c.sent, whole: c.whole, again: true, promised: told.Booked})
+	m.coming[at] = append(m.coming[at], replayCaller{sent: c.sent, whole: c.whole, again: true, promised: told.Reserved})
 }
 
 // Guards against callers that return as they were told and are refused again: under an overload of ten seconds at twice the limit, and
@@ -229,7 +229,7 @@
 			t.Logf("before: %+v", before)
 			t.Logf("now: %+v", got)
 			if found := float64(got.promisedServed) / float64(got.promised); found < 0.8 {
-				t.Errorf("%.2f of the callers that had a place found a token", found)
+				t.Errorf("%.2f of the callers that had a reservation found a token", found)
 			}
 			if now, then := got.firstServed+got.returnedServed, before.firstServed+before.returnedServed; now < then*97/100 {
 				t.Errorf("%d requests served, %d before", now, then)
--- a/pareturn/rate.go
+++ b/pareturn/rate.go
@@ -21,11 +21,11 @@
 	a.at = now
 }
 
-// CountFree records that a token of a workspace was taken.
-func (s *Schedule) CountFree(workspace string, now time.Duration) {
+// CountToken records that a token of a workspace was taken.
+func (s *Schedule) CountToken(workspace string, now time.Duration) {
 	a := s.rates[workspace]
 	if a == nil {
-		if s.rates == nil || len(s.rates) >= maxLines {
+		if s.rates == nil || len(s.rates) >= maxWorkspaces {
 			s.rates = map[string]*rate{}
 		}
 		a = &rate{at: now}
--- a/pareturn/schedule_test.go
+++ b/pareturn/schedule_test.go
@@ -14,68 +14,68 @@
 
 func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 
-// Guards against two callers with the same place, or one beyond what callers wait for.
+// Guards against two callers with the same reservation, or one beyond what callers wait for.
 func TestPlacesFollowOneAfterTheOther(t *testing.T) {
 	var s Schedule
 	for i := range 9 {
-		if got, want := s.Book(refused(20), 0), (Return{ms(100 + 100*i), true}); got != want {
+		if got, want := s.Reserve(refused(20), 0), (Return{ms(100 + 100*i), true}); got != want {
 			t.Fatalf("caller %d is told %v, want %v", i, got, want)
 		}
 	}
-	if got := s.Book(refused(20), 0); got.Booked || got.After != testLeft/honouredDivisor {
-		t.Errorf("the caller after the last place is told %v", got)
+	if got := s.Reserve(refused(20), 0); got.Reserved || got.After != testLeft/honouredDivisor {
+		t.Errorf("the caller after the last reservation is told %v", got)
 	}
 	short := refused(20)
 	short.Left = ms(500)
-	if got := s.Book(short, 0); got.Booked || got.After != short.Left {
-		t.Errorf("a caller whose deadline is before any free place is told %v", got)
+	if got := s.Reserve(short, 0); got.Reserved || got.After != short.Left {
+		t.Errorf("a caller whose deadline is before any free reservation is told %v", got)
 	}
 }
 
-// Guards against callers that return long after a burst ended, and against places that stay booked.
+// Guards against callers that return long after a burst ended, and against reservations that stay reserved.
 func TestABurstThatEndsLeavesNothingBooked(t *testing.T) {
 	var s Schedule
 	for range 100 {
-		s.Book(refused(20), 0)
+		s.Reserve(refused(20), 0)
 	}
 	if got, _ := s.due("w", 0, ms(450)); got != 3 {
-		t.Errorf("%d places are due, want 3: one is over", got)
+		t.Errorf("%d reservations are due, want 3: one is over", got)
 	}
-	now := ms(1000) + placeTTL
+	now := ms(1000) + reservationTTL
 	if got, _ := s.due("w", 0, now+ms(1)); got != 0 {
-		t.Errorf("%d places are still due after all of them were over", got)
+		t.Errorf("%d reservations are still due after all of them were over", got)
 	}
-	if got := s.Book(refused(20), now); got != (Return{ms(100), true}) {
+	if got := s.Reserve(refused(20), now); got != (Return{ms(100), true}) {
 		t.Errorf("the next caller is told %v", got)
 	}
 }
 
-// Guards against a caller that returns early, twice or never and costs others more than its place.
+// Guards against a caller that returns early, twice or never and costs others more than its reservation.
 func TestACallerCostsNoMoreThanItsPlace(t *testing.T) {
 	var s Schedule
 	k := "w"
 	for range 3 {
-		s.Book(refused(20), 0)
+		s.Reserve(refused(20), 0)
 	}
 	s.Claim(k, 0, 0, ms(50)) // Early: nothing is due.
 	if got, _ := s.due(k, 0, ms(300)); got != 3 {
-		t.Errorf("%d places are due, want 3", got)
+		t.Errorf("%d reservations are due, want 3", got)
 	}
 	s.Claim(k, 0, 0, ms(300))
 	if got, _ := s.due(k, 0, ms(300)); got != 2 {
-		t.Errorf("%d places are due after one was claimed, want 2", got)
+		t.Errorf("%d reservations are due after one was claimed, want 2", got)
 	}
 }
 
-// Guards against places that are never free again after the clock stood, or was set back, and against a division by no time.
+// Guards against reservations that are never free again after the clock stood, or was set back, and against a division by no time.
 func TestClockThatStandsOrIsSetBack(t *testing.T) {
 	var s Schedule
 	for range 1000 {
-		if got := s.Book(refused(500), time.Hour); got.After > testLeft {
+		if got := s.Reserve(refused(500), time.Hour); got.After > testLeft {
 			t.Fatalf("a caller is told %v", got)
 		}
 	}
-	if got := s.Book(refused(500), 0); got != (Return{ms(100), true}) {
+	if got := s.Reserve(refused(500), 0); got != (Return{ms(100), true}) {
 		t.Errorf("after the clock was set back a caller is told %v", got)
 	}
 	var d Deadlines
@@ -83,7 +83,7 @@
 	for range minSamples {
 		d.Note("r", testLeft, 0)
 	}
-	if !d.HadPlace("r", testLeft-ms(1)) {
+	if !d.HasReservation("r", testLeft-ms(1)) {
 		t.Error("after the clock was set back nothing is learned")
 	}
 }
@@ -92,15 +92,15 @@
 func TestRateThatChangesWhilePlacesAreBooked(t *testing.T) {
 	var s Schedule
 	for range 4 {
-		s.Book(refused(40), 0) // Until 250 ms.
+		s.Reserve(refused(40), 0) // Until 250 ms.
 	}
-	if got := s.Book(refused(10), 0); got != (Return{ms(800), true}) {
-		t.Errorf("at the lower rate the next caller is told %v: four places take 800 ms", got)
+	if got := s.Reserve(refused(10), 0); got != (Return{ms(800), true}) {
+		t.Errorf("at the lower rate the next caller is told %v: four reservations take 800 ms", got)
 	}
-	if got := s.Book(refused(200), 0); got != (Return{ms(110), true}) {
+	if got := s.Reserve(refused(200), 0); got != (Return{ms(110), true}) {
 		t.Errorf("at the higher rate the next caller is told %v", got)
 	}
-	if got := s.Book(refused(0), 0); got != (Return{After: ms(100)}) {
+	if got := s.Reserve(refused(0), 0); got != (Return{After: ms(100)}) {
 		t.Errorf("at an unknown rate a caller is told %v", got)
 	}
 }
@@ -108,20 +108,20 @@
 // Guards against less urgent callers that return before more urgent ones, and against those that never return for them.
 func TestUrgentCallersReturnFirst(t *testing.T) {
 	var s Schedule
-	booked := [2]int{}
+	reserved := [2]int{}
 	var last [2]time.Duration
 	for range 60 {
-		for class := range booked {
+		for class := range reserved {
 			r := refused(40)
 			r.Priority = 2 * class
-			if got := s.Book(r, 0); got.Booked {
-				booked[class]++
+			if got := s.Reserve(r, 0); got.Reserved {
+				reserved[class]++
 				last[class] = got.After
 			}
 		}
 	}
-	if booked[0] < 4*booked[1] || booked[1] == 0 {
-		t.Errorf("%d urgent and %d other callers have a place", booked[0], booked[1])
+	if reserved[0] < 4*reserved[1] || reserved[1] == 0 {
+		t.Errorf("%d urgent and %d other callers have a reservation", reserved[0], reserved[1])
 	}
 }
 
@@ -129,37 +129,37 @@
 func TestStateIsBounded(t *testing.T) {
 	var s Schedule
 	var d Deadlines
-	for i := range 3 * maxLines {
+	for i := range 3 * maxWorkspaces {
 		r := refused(1e6)
 		r.Workspace = fmt.Sprint(i)
 		for range 2 {
-			s.Book(r, time.Duration(i))
+			s.Reserve(r, time.Duration(i))
 		}
-		s.CountFree(r.Workspace, time.Duration(i))
+		s.CountToken(r.Workspace, time.Duration(i))
 		d.Note(r.Workspace, testLeft, time.Duration(i))
 	}
-	if len(s.lines) > maxLines || len(s.rates) > maxLines || len(d.byRoute) > maxRoutes {
-		t.Errorf("%d lines, %d rates, %d routes", len(s.lines), len(s.rates), len(d.byRoute))
+	if len(s.byWorkspace) > maxWorkspaces || len(s.rates) > maxWorkspaces || len(d.byRoute) > maxRoutes {
+		t.Errorf("%d workspaces, %d rates, %d routes", len(s.byWorkspace), len(s.rates), len(d.byRoute))
 	}
-	if s.lines[fmt.Sprint(3*maxLines-1)] == nil {
-		t.Error("the line that was used last is gone")
+	if s.byWorkspace[fmt.Sprint(3*maxWorkspaces-1)] == nil {
+		t.Error("the workspace that was used last is gone")
 	}
-	for range 2 * maxPlaces {
-		s.Book(refused(1e6), time.Second)
+	for range 2 * maxReservations {
+		s.Reserve(refused(1e6), time.Second)
 	}
-	if n := len(s.lines["w"][0].places); n > maxPlaces {
-		t.Errorf("a line has %d places", n)
+	if n := len(s.byWorkspace["w"][0].times); n > maxReservations {
+		t.Errorf("a class has %d reservations", n)
 	}
 }
 
-// Guards against a first attempt, or a return without a place, that takes the place of another caller.
+// Guards against a first attempt, or a return without a reservation, that takes the reservation of another caller.
 func TestReturnsAreToldByTheTimeLeft(t *testing.T) {
 	var d Deadlines
 	mistaken := 0
 	for i := range 1000 {
 		told := testLeft - ms(i*37%500)
 		d.Note("r", told, 0)
-		if d.HadPlace("r", told) {
+		if d.HasReservation("r", told) {
 			mistaken++
 		}
 	}
@@ -172,18 +172,18 @@
 	}
 	for _, left := range []time.Duration{testLeft, testLeft - ms(490), testLeft - ms(600)} {
 		from, to := d.Window("r", left)
-		if from > to || !d.HadPlace("r", left-from-ms(1)) || !d.HadPlace("r", left-to+ms(1)) || d.HadPlace("r", left*2/3-ms(1)) {
-			t.Errorf("a caller with %v left may have a place from %v to %v", left, from, to)
+		if from > to || !d.HasReservation("r", left-from-ms(1)) || !d.HasReservation("r", left-to+ms(1)) || d.HasReservation("r", left*2/3-ms(1)) {
+			t.Errorf("a caller with %v left may have a reservation from %v to %v", left, from, to)
 		}
 	}
 	if from, to := d.Window("other", testLeft); from != 0 || to != ms(900) {
-		t.Errorf("of unknown deadlines, a place may lie from %v to %v", from, to)
+		t.Errorf("of unknown deadlines, a reservation may lie from %v to %v", from, to)
 	}
 	for _, c := range []struct {
 		told time.Duration
 		want bool
 	}{{testLeft, false}, {testLeft - ms(400), false}, {testLeft - ms(510), true}, {testLeft - ms(910), true}, {testLeft * 2 / 3, false}} {
-		if got := d.HadPlace("r", c.told); got != c.want {
+		if got := d.HasReservation("r", c.told); got != c.want {
 			t.Errorf("a caller with %v left returns: %v", c.told, got)
 		}
 	}
