--- a/pagate/waiting.go
+++ b/pagate/waiting.go
@@ -16,7 +16,7 @@
 	left chan struct{}
 }
 
-// chooseOrWait picks the target of the next attempt of a request to a contended service. It returns once there is a place for the
+// chooseOrWait picks the target of the next attempt of a request to a contended service. It returns once there is a free slot for the
 // request at a target, or it is refused.
 func (g *Gate) chooseOrWait(ctx context.Context, x *exchange) pasteer.Choice {
 	began := g.config.Clock.Now()
@@ -26,7 +26,7 @@
 		w.Workspace = x.workspace.Name
 	}
 	if recheck, waits := g.admitToRoom(w, began); waits {
-		g.awaitPlace(ctx, w, recheck)
+		g.awaitChoice(ctx, w, recheck)
 		x.roomWait += g.config.Clock.Since(began)
 		x.overtaken += w.Overtaken()
 		g.meter.countWait(x.priority(), g.config.Clock.Since(began), w.Overtaken())
@@ -70,8 +70,8 @@
 	return g.balancer.RecheckAfter(&w.Waiter, now), true
 }
 
-// awaitPlace returns once the wait is over: by another request's end, by a choice made anew, or as ctx is done.
-func (g *Gate) awaitPlace(ctx context.Context, w *waitingRequest, recheck time.Duration) {
+// awaitChoice returns once the wait is over: by another request's end, by a choice made anew, or as ctx is done.
+func (g *Gate) awaitChoice(ctx context.Context, w *waitingRequest, recheck time.Duration) {
 	for {
 		select {
 		case <-w.left:
@@ -130,7 +130,7 @@
 	}
 }
 
-// limitWaiting is limitByShutdown for all requests that wait when a shutdown begins: the next place may be free before their recheck.
+// limitWaiting is limitByShutdown for all requests that wait when a shutdown begins: the next slot may be free before their recheck.
 func (g *Gate) limitWaiting() {
 	g.balancerMutex.Lock()
 	defer g.balancerMutex.Unlock()
--- a/pasteer/waiting.go
+++ b/pasteer/waiting.go
@@ -10,10 +10,10 @@
 
 // Under an overload the queues of the targets fill up, in the order of arrival. What is there can be neither overtaken nor taken
 // back, so that the most urgent requests are answered late behind long runs of others. So a request to a contended service is
-// sent only while its target is believed to have a place for it, and waits in this entry VM else. Each time that a place may
+// sent only while its target is believed to have a free slot for it; otherwise it waits in this entry VM. Each time that a slot may
 // have become free, the one that goes next is chosen a target anew.
 
-// Waiter is a request to be sent to a target now or once there is a place for it.
+// Waiter is a request to be sent to a target now or once there is a free slot for it.
 type Waiter struct {
 	Request Request
 	// Workspace is the workspace that sent it; empty if it is unknown.
@@ -70,12 +70,12 @@
 	case !contended:
 		b.startWaiter(w, c, now)
 		return false
-	case b.room.Next(c.Target, now) == nil && b.hasPlace(t, *q, now):
+	case b.room.Next(c.Target, now) == nil && b.canSend(t, *q, now):
 		b.room.CountSent(w.Workspace, now)
 		b.startWaiter(w, c, now)
 		return false
 	}
-	return b.enter(w, c, now)
+	return b.enqueue(w, c, now)
 }
 
 func (b *Balancer) startWaiter(w *Waiter, c Choice, now time.Time) {
@@ -83,8 +83,8 @@
 	b.Start(c, w.Request, now)
 }
 
-// enter lets a request wait for the target of a choice, unless the room is full.
-func (b *Balancer) enter(w *Waiter, c Choice, now time.Time) (waits bool) {
+// enqueue lets a request wait for the target of a choice, unless the room is full.
+func (b *Balancer) enqueue(w *Waiter, c Choice, now time.Time) (waits bool) {
 	q := &w.Request
 	w.item = pawaiting.Item{
 		Target: c.Target, Priority: q.Priority, Workspace: w.Workspace, Bytes: w.Bytes, Arrived: w.Arrived,
@@ -136,7 +136,7 @@
 	return all
 }
 
-// dispatch sends requests that wait for a target as long as it has places for them.
+// dispatch sends requests that wait for a target as long as it has free slots for them.
 func (b *Balancer) dispatch(target string, now time.Time) {
 	for range maxDispatched {
 		i := b.room.Next(target, now)
@@ -144,7 +144,7 @@
 			return
 		}
 		w := b.waiters[i]
-		if t := b.targets[target]; t != nil && !t.excluded && !b.hasPlace(t, w.Request, now) && now.Before(b.room.Expires(i)) {
+		if t := b.targets[target]; t != nil && !t.excluded && !b.canSend(t, w.Request, now) && now.Before(b.room.Expires(i)) {
 			return
 		}
 		b.reconsider(w, now)
@@ -175,14 +175,14 @@
 		return
 	}
 	b.room.Move(i, c.Target, c.finish-c.wait)
-	if b.hasPlace(t, w.Request, now) && b.room.Next(c.Target, now) == i {
+	if b.canSend(t, w.Request, now) && b.room.Next(c.Target, now) == i {
 		b.room.Send(i, now)
 		b.Start(c, w.Request, now)
 		b.release(w, c)
 	}
 }
 
-// Recheck chooses a target anew for a request that waits, and for the one that goes next there. Not all that makes a place free
+// Recheck chooses a target anew for a request that waits, and for the one that goes next there. Not all that frees a slot
 // is an event here: reports on load expire, and other entry VMs' requests end unseen.
 func (b *Balancer) Recheck(w *Waiter, now time.Time) {
 	if !w.Waits() {
@@ -253,15 +253,15 @@
 	return float64(b.room.Ahead(t.state.ID, q.Priority))
 }
 
-// hasPlace reports whether the target is believed to have a slot for the request by the time it arrives. The most urgent get one
-// place more than others, so that they start as soon as a slot is free.
-func (b *Balancer) hasPlace(t *target, q Request, now time.Time) bool {
-	places := t.slots()
+// canSend reports whether the target is believed to have a slot for the request by the time it arrives. The most urgent are sent with one
+// request more there than others, so that they start as soon as a slot is free.
+func (b *Balancer) canSend(t *target, q Request, now time.Time) bool {
+	most := t.slots()
 	if run := b.expectedRun(q, true); run > 0 {
-		places += min(t.slots(), math.Ceil(t.slots()*float64(roundTripTime[t.distance])/float64(run)))
+		most += min(t.slots(), math.Ceil(t.slots()*float64(roundTripTime[t.distance])/float64(run)))
 	}
 	if q.Priority <= b.mostUrgent && b.mostUrgent < b.leastUrgent {
-		places++
+		most++
 	}
-	return t.remainingLoad(now) < places
+	return t.remainingLoad(now) < most
 }
--- a/pawaiting/share.go
+++ b/pawaiting/share.go
@@ -8,11 +8,11 @@
 const (
 	// sentHalfLife is the time in which what a workspace got counts half: a burst of a few runs is evened out.
 	sentHalfLife = 2 * time.Second
-	// usualChange is by how much the usual rate of a workspace changes in a second at most. One that sends eight times as much
+	// maxRateChange is by how much the average rate of a workspace changes in a second at most. One that sends eight times as much
 	// for ten seconds is still weighed by about what it sent before.
-	usualChange = 0.02
-	// minUsual is the least rate, in requests a second, that a workspace counts as sending.
-	minUsual = 1.0
+	maxRateChange = 0.02
+	// minRate is the least rate, in requests a second, that a workspace counts as sending.
+	minRate = 1.0
 	// rateWindow is the least time over which a rate is counted.
 	rateWindow = time.Second
 	// rebaseInterval is how often all counts are scaled down, before they overflow.
@@ -22,25 +22,25 @@
 // share is what a workspace sends, and got lately.
 type share struct {
 	// sent counts what it got, scaled up with time instead of decaying, so that two shares compare without knowing the time; used
-	// is sent by the usual rate.
+	// is sent divided by rate.
 	sent, used float64
-	// usual is its rate in requests a second, 0 before it is known; arrived is what it sent since countedAt.
-	usual     float64
+	// rate is its slowly changing average rate in requests a second, 0 before it is known; arrived is what it sent since countedAt.
+	rate      float64
 	arrived   int
 	countedAt time.Time
 	waiting   int
 }
 
-// countArrival counts a request, and adapts the usual rate to that of the last window.
+// countArrival counts a request, and adapts the average rate to that of the last window.
 func (w *share) countArrival(now time.Time) {
 	elapsed := now.Sub(w.countedAt)
 	if elapsed >= rateWindow {
 		rate, seconds := float64(w.arrived)/elapsed.Seconds(), elapsed.Seconds()
-		if w.usual == 0 {
-			w.usual = rate
+		if w.rate == 0 {
+			w.rate = rate
 		}
-		rate = min(max(rate, w.usual*math.Pow(1-usualChange, seconds)), w.usual*math.Pow(1+usualChange, seconds))
-		w.usual, w.arrived, w.countedAt = max(minUsual, rate), 0, now
+		rate = min(max(rate, w.rate*math.Pow(1-maxRateChange, seconds)), w.rate*math.Pow(1+maxRateChange, seconds))
+		w.rate, w.arrived, w.countedAt = max(minRate, rate), 0, now
 	}
 	w.arrived++
 }
@@ -70,7 +70,7 @@
 // countSent counts a request of the workspace that is sent to a target.
 func (s *shares) countSent(w *share, now time.Time) {
 	w.sent += s.scale(now)
-	w.used = w.sent / max(minUsual, w.usual)
+	w.used = w.sent / max(minRate, w.rate)
 }
 
 // scale is the weight of an event at this time.
