--- a/pabuffer/hold.go
+++ b/pabuffer/hold.go
@@ -5,7 +5,7 @@
 	"io"
 )
 
-// ErrUsedUp says that the budget has no room for the rest of a body.
+// ErrUsedUp means that the budget has too few bytes left for the rest of a body.
 var ErrUsedUp = errors.New("budget for held bodies is used up")
 
 // minBuffer is the size of the first buffer for a body.
@@ -34,7 +34,7 @@
 			}
 			grown := make([]byte, len(b), size)
 			copy(grown, b)
-			h.give(cap(b))
+			h.putBack(cap(b))
 			b = grown
 		}
 		n, err := r.Read(b[len(b):cap(b)])
@@ -50,7 +50,7 @@
 
 // Release returns what the bodies held; they must not be used afterwards.
 func (h *Hold) Release() {
-	h.give(int(h.bytes))
+	h.putBack(int(h.bytes))
 }
 
 func (h *Hold) take(n int) bool {
@@ -61,7 +61,7 @@
 	return true
 }
 
-func (h *Hold) give(n int) {
+func (h *Hold) putBack(n int) {
 	h.bytes -= int64(n)
 	h.Budget.held.Add(-int64(n))
 }
--- a/pareturn/schedule_test.go
+++ b/pareturn/schedule_test.go
@@ -28,11 +28,11 @@
 	short := refused(20)
 	short.Left = ms(500)
 	if got := s.Reserve(short, 0); got.Reserved || got.After != short.Left {
-		t.Errorf("a caller whose deadline is before any free reservation is told %v", got)
+		t.Errorf("a caller whose deadline is before any free token is told %v", got)
 	}
 }
 
-// Guards against callers that return long after a burst ended, and against reservations that stay reserved.
+// Guards against callers that return long after a burst ended, and against reservations that are never dropped.
 func TestABurstThatEndsLeavesNothingBooked(t *testing.T) {
 	var s Schedule
 	for range 100 {
@@ -67,7 +67,7 @@
 	}
 }
 
-// Guards against reservations that are never free again after the clock stood, or was set back, and against a division by no time.
+// Guards against tokens that stay reserved after the clock stood or was set back, and against a division by no time.
 func TestClockThatStandsOrIsSetBack(t *testing.T) {
 	var s Schedule
 	for range 1000 {
@@ -173,7 +173,7 @@
 	for _, left := range []time.Duration{testLeft, testLeft - ms(490), testLeft - ms(600)} {
 		from, to := d.Window("r", left)
 		if from > to || !d.HasReservation("r", left-from-ms(1)) || !d.HasReservation("r", left-to+ms(1)) || d.HasReservation("r", left*2/3-ms(1)) {
-			t.Errorf("a caller with %v left may have a reservation from %v to %v", left, from, to)
+			t.Errorf("a caller with %v left may have one from %v to %v", left, from, to)
 		}
 	}
 	if from, to := d.Window("other", testLeft); from != 0 || to != ms(900) {
