--- a/pagate/returning.go
+++ b/pagate/returning.go
@@ -120,7 +120,7 @@
 		r.schedule.Claim(name, x.priority(), reservationLead, now)
 		return h.DecideReturn(now, reachable, returnPatience)
 	}
-	return h.DecideBehind(r.schedule.TokensToKeep(name, reservationLead, now), now, reachable)
+	return h.DecideReserving(r.schedule.TokensToKeep(name, reservationLead, now), now, reachable)
 }
 
 // limiterReachable is reachable without the mutex.
--- a/paload/model.go
+++ b/paload/model.go
@@ -6,8 +6,8 @@
 // is ready for use.
 type Model struct {
 	run time.Duration
-	// changes counts how often slowness had changed at the next response, after it had been told for a time of slowFor in all. Both
-	// halve at maxChanges.
+	// changes is how often two successive responses of a target reported a different slowness, and slowFor the sum of the times
+	// between all such pairs of responses, changed or not. Both halve at maxChanges, so that the latest pairs count most.
 	changes float64
 	slowFor time.Duration
 }
--- a/paquota/reserved_test.go
+++ b/paquota/reserved_test.go
@@ -13,7 +13,7 @@
 	s := NewShare(d.Share, 0, tolerance, 0)
 	admitted := 0
 	for now := time.Duration(0); now < time.Minute; now += 100 * time.Millisecond {
-		if s.DecideBehind(3, now, false) == Admit {
+		if s.DecideReserving(3, now, false) == Admit {
 			admitted++
 		}
 	}
--- a/paquota/share.go
+++ b/paquota/share.go
@@ -61,14 +61,14 @@
 // Once the limiter replied that the pool is empty, all requests over the share are refused at once. Otherwise the excess of a
 // workspace that sends many times its limit would wait and call the limiter, and delay the requests of others.
 func (s *Share) Decide(now time.Duration, reachable bool) Verdict {
-	return s.DecideBehind(0, now, reachable)
+	return s.DecideReserving(0, now, reachable)
 }
 
-// DecideBehind is Decide for a request that leaves a number of tokens to callers that were told to return about now.
+// DecideReserving is Decide for a new request, which leaves a number of tokens that are reserved for callers told to return about now.
 //
 // It leaves less than the depth of the share. A share of a few tokens would otherwise admit no new request until those callers came,
 // and some never come.
-func (s *Share) DecideBehind(reserved int, now time.Duration, reachable bool) Verdict {
+func (s *Share) DecideReserving(reserved int, now time.Duration, reachable bool) Verdict {
 	s.state.advance(now)
 	reserved = min(reserved, max(0, int(s.state.bucket.Depth)-1))
 	switch {
--- a/pareturn/deadline.go
+++ b/pareturn/deadline.go
@@ -12,8 +12,8 @@
 	reservationFraction = 0.9
 	// connectTime is what a caller's new connection and its request may take.
 	connectTime = 100 * time.Millisecond
-	// latestReturn is the part of the longest deadline that a caller with a reservation still has when it returns. One without
-	// waits for a third of its time, and has less.
+	// latestReturn is the part of the longest deadline that a caller with a reservation still has when it returns. It is a little
+	// over two thirds: a caller without a reservation waits for a third of its time, and has less left.
 	latestReturn = 0.68
 	// samples is how many deadlines of first attempts are kept for a route, minSamples how many tell where they lie.
 	samples, minSamples = 64, 16
--- a/pareturn/limit_replay_test.go
+++ b/pareturn/limit_replay_test.go
@@ -115,7 +115,7 @@
 		e.schedule.Claim(replayWorkspace, 0, ms(100), now)
 		v = e.share.DecideReturn(now, reachable, ms(320))
 	default:
-		v = e.share.DecideBehind(e.schedule.TokensToKeep(replayWorkspace, ms(100), now), now, reachable)
+		v = e.share.DecideReserving(e.schedule.TokensToKeep(replayWorkspace, ms(100), now), now, reachable)
 	}
 	switch w := (replayWaiter{c, now + replayWait}); {
 	case v == paquota.Admit:
--- a/pasteer/choose.go
+++ b/pasteer/choose.go
@@ -143,7 +143,7 @@
 		l.useAvoided()
 		c = b.pick(svc, l.all, q, now)
 	}
-	return b.toSender(svc, c, q, now)
+	return b.handOver(svc, c, q, now)
 }
 
 // refusal refuses a request for which no target is usable, for the reason that is over first.
--- a/pasteer/sender.go
+++ b/pasteer/sender.go
@@ -68,12 +68,12 @@
 	return t.sender
 }
 
-// toSender has a chosen request handed to the entry VM of this zone that sends to its target, if that is another one which is
+// handOver has a chosen request handed to the entry VM of this zone that sends to its target, if that is another one which is
 // expected to serve it. That one chooses finally, by what it knows.
 //
 // Dozens of entry VMs that each send to hundreds of targets know the load of each from an answer some seconds ago, and open a
 // connection for every second request. Where callers compete for slots, requests then lie in long queues beside free slots.
-func (b *Balancer) toSender(svc *service, c Choice, q Request, now time.Time) Choice {
+func (b *Balancer) handOver(svc *service, c Choice, q Request, now time.Time) Choice {
 	if c.Target == "" || c.Relay || !b.mayHandOver(svc, q) {
 		return c
 	}
@@ -98,18 +98,18 @@
 		len(q.Tried) == 0 && len(q.Unreached) == 0 && q.allows(b.Config.Region)
 }
 
-// countedElsewhere reports whether the request was counted for MaxShift when it was handed to a sender, by the entry VM that received it.
+// countedByReceiver reports whether the request was counted for MaxShift when it was handed to a sender, by the entry VM that received it.
 // Counted at both, a region's requests would be allowed twice the shifts. A shift counts at each entry VM that chooses it.
-func (b *Balancer) countedElsewhere(q Request) bool {
+func (b *Balancer) countedByReceiver(q Request) bool {
 	svc := b.services[q.Service]
 	return svc != nil && b.contended(svc) && (q.Direct || q.NoSender)
 }
 
 // isShared reports whether the target's requests go through its sender.
 //
-// The rate that a target bears while it is cold, or that it names, is divided among entry VMs, each of which holds its share in
-// tokens. If a request needed one at the entry VM that chose and another at the sender, the sender's share would be all that
-// the target gets. So whoever has a token sends by itself, and the sum of the shares stays the bound. A target that asked
+// The request rate of a target that is cold, or names a limit, is divided among entry VMs, and each has its share as a token bucket.
+// A request that is handed over would take a token twice: at the entry VM that chose and at the sender. The target would get no more
+// than the sender's share. So an entry VM that has a token sends by itself, and the shares together stay the bound. A target that asked
 // this entry VM for time, or that joined and is not known to be used, is also tried by the entry VM whose turn it is.
 func (t *target) isShared(now time.Time) bool {
 	return (t.used || t.joinedAt.IsZero()) && !t.isCold(now) && !t.limit.limited && t.pushback == nil
--- a/pasteer/shift.go
+++ b/pasteer/shift.go
@@ -91,7 +91,7 @@
 		return
 	}
 	i := b.shifts.bucketAt(now, shiftWindow)
-	if !b.countedElsewhere(q) {
+	if !b.countedByReceiver(q) {
 		b.shifts.requests[i]++
 	}
 	if c.Shifted {
