--- a/pagate/modelfleet_test.go
+++ b/pagate/modelfleet_test.go
@@ -34,6 +34,8 @@
 	modelDecode = 8e6
 	// modelTargets is the number of targets; listing them takes modelTargets*modelItemBytes.
 	modelTargets = 480
+	// modelRetryFloor is the number of retries that all entry VMs together may add to a ratio of the requests.
+	modelRetryFloor = 58
 	// modelLead is how long a fleet runs before its day begins.
 	modelLead = 4 * time.Second
 )
@@ -46,8 +48,9 @@
 	zone, region string
 	address      netip.Addr
 	gate         atomic.Pointer[Gate]
-	kill         context.CancelFunc
-	done         chan struct{}
+	// stop begins a graceful shutdown, kill ends the process at once; done is closed at its end.
+	stop, kill context.CancelFunc
+	done       chan struct{}
 	// cutFromStore is set while no byte passes between the store and the entry VM.
 	cutFromStore bool
 }
@@ -243,7 +246,7 @@
 	s := Settings{
 		Name: e.name, Zone: e.zone, Region: e.region, Regions: map[string]string{}, Front: at(1), Ready: at(2), Directory: at(3),
 		Peers: at(4), GracePeriod: 10 * time.Second, MaxPropagation: f.maxAge, Bootstrap: bootstrap, MaxLookUpTTL: 5 * time.Second,
-		RetryRatio: 0.2, RetryWindow: 10 * time.Second, MaxShift: 0.15, MinLeaseTTL: time.Second, LinkMbps: modelLink * 8 / 1e6,
+		RetryRatio: 0.2, RetryWindow: 10 * time.Second, RetryFloor: modelRetryFloor, MaxShift: 0.15, MinLeaseTTL: time.Second, LinkMbps: modelLink * 8 / 1e6,
 	}
 	for _, o := range f.entries {
 		s.Regions[o.zone] = o.region
@@ -255,16 +258,17 @@
 	g := New(Config{
 		Settings: s, Registry: f.store.of(e), Network: host, Clock: clockwork.NewRealClock(), Random: rand.New(rand.NewPCG(uint64(e.index), 2)),
 	})
+	stopCtx, stop := context.WithCancel(context.Background())
 	ctx, kill := context.WithCancel(context.Background())
 	e.gate.Store(g)
 	done, wait := make(chan struct{}), time.Duration(f.random.IntN(300))*time.Millisecond
-	e.kill, e.done = kill, done
+	e.stop, e.kill, e.done = stop, kill, done
 	go func() {
 		defer close(done)
 		if sleepUntil(ctx, time.Now().Add(wait)) != nil {
 			return
 		}
-		if err := g.Run(context.Background(), ctx); err != nil {
+		if err := g.Run(stopCtx, ctx); err != nil {
 			panic(err)
 		}
 	}()
--- a/pagate/modelstore_test.go
+++ b/pagate/modelstore_test.go
@@ -48,13 +48,23 @@
 	slow   float64
 	deaf   bool
 	leases int
-	calls  map[string]int
+	// lapses has registrations end with their leases; they stay otherwise.
+	lapses  bool
+	byLease map[paplatform.LeaseID]*modelLease
+	calls   map[string]int
+}
+
+// modelLease is a lease of the store and the entry VM that is registered under it.
+type modelLease struct {
+	ttl     time.Duration
+	expires *time.Timer
+	entry   string
 }
 
 func newModelStore(n *modelNetwork) *modelStore {
 	return &modelStore{
 		network: n, items: map[string]pafleet.Change{}, changed: make(chan struct{}), cut: make(chan struct{}),
-		faults: map[string]storeFault{}, slow: 1, calls: map[string]int{},
+		faults: map[string]storeFault{}, slow: 1, calls: map[string]int{}, byLease: map[paplatform.LeaseID]*modelLease{},
 	}
 }
 
@@ -331,33 +341,79 @@
 	return all
 }
 
+// endLease ends a lease, and the registration under it.
+func (s *modelStore) endLease(id paplatform.LeaseID) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	l := s.byLease[id]
+	if l == nil {
+		return
+	}
+	l.expires.Stop()
+	delete(s.byLease, id)
+	key := "papayahead/entries/" + l.entry
+	e, ok := s.items[key].(pafleet.EntryUpdated)
+	if !ok || slices.ContainsFunc(slices.Collect(maps.Values(s.byLease)), func(o *modelLease) bool { return o.entry == l.entry }) {
+		return
+	}
+	s.writeLocked(key, func(r pafleet.Revision) pafleet.Change { return pafleet.EntryRemoved{Name: e.Entry.Name, Revision: r} })
+}
+
 // GrantLease implements Registry.
-func (r *modelRegistry) GrantLease(ctx context.Context, _ time.Duration) (paplatform.LeaseID, error) {
+func (r *modelRegistry) GrantLease(ctx context.Context, ttl time.Duration) (paplatform.LeaseID, error) {
 	if err := r.call(ctx, "Lease"); err != nil {
 		return "", err
 	}
-	r.store.mutex.Lock()
-	defer r.store.mutex.Unlock()
-	r.store.leases++
-	return paplatform.LeaseID(strconv.Itoa(r.store.leases)), nil
+	s := r.store
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.leases++
+	id := paplatform.LeaseID(strconv.Itoa(s.leases))
+	if s.lapses {
+		s.byLease[id] = &modelLease{ttl: ttl, expires: time.AfterFunc(ttl, func() { s.endLease(id) })}
+	}
+	return id, nil
 }
 
 // RenewLease implements Registry.
-func (r *modelRegistry) RenewLease(ctx context.Context, _ paplatform.LeaseID) error {
-	return r.call(ctx, "Renew")
+func (r *modelRegistry) RenewLease(ctx context.Context, id paplatform.LeaseID) error {
+	if err := r.call(ctx, "Renew"); err != nil {
+		return err
+	}
+	s := r.store
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if l := s.byLease[id]; l != nil {
+		l.expires.Reset(l.ttl)
+	} else if s.lapses {
+		return modelError(paplatform.LeaseLapsed, nil)
+	}
+	return nil
 }
 
 // RevokeLease implements Registry.
-func (r *modelRegistry) RevokeLease(ctx context.Context, _ paplatform.LeaseID) error {
-	return r.call(ctx, "End")
+func (r *modelRegistry) RevokeLease(ctx context.Context, id paplatform.LeaseID) error {
+	if err := r.call(ctx, "End"); err != nil {
+		return err
+	}
+	r.store.endLease(id)
+	return nil
 }
 
 // Register implements Registry.
-func (r *modelRegistry) Register(ctx context.Context, e pafleet.Entry, _ paplatform.LeaseID) error {
+func (r *modelRegistry) Register(ctx context.Context, e pafleet.Entry, id paplatform.LeaseID) error {
 	if err := r.call(ctx, "Announce"); err != nil {
 		return err
 	}
-	r.store.write("papayahead/entries/"+e.Name, func(at pafleet.Revision) pafleet.Change {
+	s := r.store
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if l := s.byLease[id]; l != nil {
+		l.entry = e.Name
+	} else if s.lapses {
+		return modelError(paplatform.LeaseLapsed, nil)
+	}
+	s.writeLocked("papayahead/entries/"+e.Name, func(at pafleet.Revision) pafleet.Change {
 		e.Revision = at
 		return pafleet.EntryUpdated{Entry: e}
 	})
