paretry, pasteer: a process earns the retries that it grants; what a former lifetime used is not granted again

Cause: requests and retries were counted in a window that began with the process, and the whole window's retries were there at once, so each lifetime was granted a window's worth. The window went by the time of day, too: a step ahead forgot it.

What is granted in a window was earned in it or shortly before, whoever's process it was.

--- a/pagate/retry.go
+++ b/pagate/retry.go
@@ -45,6 +45,13 @@
 	return ok
 }
 
+// accrueRetries adds what the retry budgets earn by time; it is called once a tick.
+func (g *Gate) accrueRetries(now time.Time) {
+	g.balancerMutex.Lock()
+	defer g.balancerMutex.Unlock()
+	g.balancer.AccrueRetries(now)
+}
+
 // logRetries logs, at most once per retryLogInterval, the retries of each service that has had any since.
 func (g *Gate) logRetries(now time.Time) {
 	g.balancerMutex.Lock()
--- a/pagate/retry_test.go
+++ b/pagate/retry_test.go
@@ -1,6 +1,7 @@
 package pagate
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -8,8 +9,6 @@
 )
 
 const (
-	// retryLoadPerEntry is the requests a second for each entry VM of a modelled fleet.
-	retryLoadPerEntry = 20
 	// retryLoadStep is the time between two moments at which requests arrive.
 	retryLoadStep = 20 * time.Millisecond
 	// retryLookUpAge is how long callers go on sending to an entry VM that stops.
@@ -19,10 +18,12 @@
 	retryWindow = 10 * time.Second
 )
 
-// retryLoad sends requests to a modelled fleet in virtual time. While failing is set, half of the attempts fail and ask for another.
+// retryLoad sends requests to a modelled fleet in virtual time. While failing is set, each first attempt fails and asks for another.
 type retryLoad struct {
 	*modelFleet
-	failing bool
+	// perSecond is the number of requests a second; due is the part of a request that is to be sent.
+	perSecond, due float64
+	failing        bool
 	// stopping are the entry VMs that shut down, and since when.
 	stopping map[*modelEntry]time.Time
 	// requests and repeats are when requests arrived, and when another attempt was granted.
@@ -31,8 +32,8 @@
 }
 
 // newRetryLoad starts a fleet whose registrations lapse with their leases.
-func newRetryLoad(n int, seed uint64) *retryLoad {
-	l := &retryLoad{modelFleet: newModelFleet(n, seed, spreadBound), stopping: map[*modelEntry]time.Time{}}
+func newRetryLoad(n int, perSecond float64, seed uint64) *retryLoad {
+	l := &retryLoad{modelFleet: newModelFleet(n, seed, spreadBound), perSecond: perSecond, stopping: map[*modelEntry]time.Time{}}
 	l.store.mutex.Lock()
 	l.store.lapses = true
 	l.store.mutex.Unlock()
@@ -45,7 +46,7 @@
 	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(retryLoadStep) {
 		l.startEnded()
 		taking := slices.DeleteFunc(slices.Clone(l.entries), func(e *modelEntry) bool { return !l.takes(e) })
-		for range int(retryLoadPerEntry * retryLoadStep.Seconds() * float64(len(l.entries))) {
+		for l.due += l.perSecond * retryLoadStep.Seconds(); l.due >= 1; l.due-- {
 			if len(taking) > 0 {
 				l.send(taking[l.random.IntN(len(taking))].gate.Load())
 			}
@@ -64,13 +65,13 @@
 	return e.gate.Load().state.Load().table != nil && (!stops || time.Since(since) < retryLookUpAge)
 }
 
-// send has a request arrive at an entry VM, and its first attempt fail or not.
+// send has a request arrive at an entry VM, and its first attempt fail while failing is set.
 func (l *retryLoad) send(g *Gate) {
 	now := time.Now()
 	x := &exchange{route: &g.state.Load().table.Config.Routes[0], arrived: now}
 	x.service = g.pickService(x)
 	l.requests = append(l.requests, now)
-	if !l.failing || l.random.IntN(2) == 0 {
+	if !l.failing {
 		return
 	}
 	if g.retryAllowed(x, now) {
@@ -139,25 +140,33 @@
 	return begin, repeats, allowed
 }
 
-// checkRetries plays a day on a fleet of seven and checks that no window has more repeats than allowed.
+// checkRetries plays a day on fleets of seven with few and with many requests, and checks that no window has more repeats than allowed.
 func checkRetries(t *testing.T, day func(l *retryLoad)) {
-	synctest.Test(t, func(t *testing.T) {
-		l := newRetryLoad(7, 1)
-		defer l.close()
-		begun := time.Now()
-		l.run(12 * time.Second)
-		l.failing = true
-		l.run(3 * time.Second)
-		day(l)
-		begin, repeats, allowed := l.worstWindow()
-		t.Logf("%d requests, %d repeats, %d refused; worst window from %v: %d, allowed %.1f", len(l.requests), len(l.repeats), l.refused, begin.Sub(begun), repeats, allowed)
-		if float64(repeats) > allowed {
-			t.Errorf("%d repeats in %v, allowed %.1f", repeats, retryWindow, allowed)
-		}
-		if repeats == 0 {
-			t.Error("no repeat was granted")
-		}
-	})
+	for _, perSecond := range []float64{10, 30, 140} {
+		t.Run(fmt.Sprintf("%v requests a second", perSecond), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				l := newRetryLoad(7, perSecond, 1)
+				defer l.close()
+				l.run(12 * time.Second)
+				l.failing = true
+				l.run(3 * time.Second)
+				day(l)
+				l.check(t)
+			})
+		})
+	}
+}
+
+// check checks that no window has more repeats than allowed, and that there were some.
+func (l *retryLoad) check(t *testing.T) {
+	_, repeats, allowed := l.worstWindow()
+	t.Logf("%d requests, %d repeats, %d refused; worst window: %d, allowed %.1f", len(l.requests), len(l.repeats), l.refused, repeats, allowed)
+	if float64(repeats) > allowed {
+		t.Errorf("%d repeats in %v, allowed %.1f", repeats, retryWindow, allowed)
+	}
+	if repeats == 0 {
+		t.Error("no repeat was granted")
+	}
 }
 
 // Guards against entry VMs that stop: they serve on without a registration, and each takes the whole floor of the budget for itself.
--- a/pasteer/balancer.go
+++ b/pasteer/balancer.go
@@ -7,6 +7,7 @@
 
 	"papayahead/pafleet"
 	"papayahead/paload"
+	"papayahead/paretry"
 	"papayahead/paroute"
 	"papayahead/pawaiting"
 )
@@ -104,7 +105,7 @@
 	name     string
 	settings paroute.Service
 	targets  []*target
-	budget   rollingCounter
+	retries  paretry.Share
 	// byDistance and byRegion group the targets; newTargets are those that joined and may not have received a request.
 	byDistance [otherRegion + 1][]*target
 	byRegion   map[string][]*target
--- a/pasteer/budget.go
+++ b/pasteer/budget.go
@@ -1,15 +1,15 @@
 package pasteer
 
-import "time"
+import (
+	"time"
 
-// budgetShare is the fraction of the retry budget that is used. The rest allows for windows that are not aligned with the
-// platform's and for a count of entry VMs that is off by one.
-const budgetShare = 0.75
+	"papayahead/paretry"
+)
 
 // windowBuckets is the number of buckets of a rollingCounter.
 const windowBuckets = 10
 
-// rollingCounter counts, over a rolling window, requests and the retries or region shifts among them. The zero value is
+// rollingCounter counts, over a rolling window, requests and the region shifts among them. The zero value is
 // ready for use.
 type rollingCounter struct {
 	// ticks holds the bucket number that each bucket was last reset for.
@@ -40,32 +40,31 @@
 	return requests, events
 }
 
-// countRequest adds a request to those that the service's retry budget is computed from.
-func (b *Balancer) countRequest(svc *service, now time.Time) {
-	svc.budget.requests[svc.budget.bucketAt(now, b.Config.RetryWindow)]++
+// retryAllowance is what the platform allows all entry VMs together.
+func (b *Balancer) retryAllowance() paretry.Allowance {
+	return paretry.Allowance{Ratio: b.Config.RetryRatio, Floor: b.Config.RetryFloor, Window: b.Config.RetryWindow}
+}
+
+// countRequest adds a request to those that earn the service's retries.
+func (b *Balancer) countRequest(svc *service, now time.Time) { svc.retries.Deposit(b.retryAllowance(), now) }
+
+// AccrueRetries adds what the retry budgets of all services earn by time. It is to be called several times a second.
+func (b *Balancer) AccrueRetries(now time.Time) {
+	for _, svc := range b.services {
+		svc.retries.Accrue(b.retryAllowance(), 1/float64(b.entryCount), now)
+	}
 }
 
 // TakeRetry takes one retry from the service's budget and reports whether there was one.
 //
 // Retries are bounded because they compete with first attempts for slots. When many targets fail or shed requests at once,
-// no slots are to spare, and unbounded retries would add to the overload. RetryFloor is divided evenly among the entry VMs,
-// so that all of them together stay within it without exchanging messages.
+// no slots are to spare, and unbounded retries would add to the overload.
 func (b *Balancer) TakeRetry(service string, now time.Time) bool {
 	svc := b.services[service]
-	if svc == nil {
+	if svc == nil || b.Config.Off.SecondSends {
 		return false
 	}
-	requests, retries := svc.budget.totals(now, b.Config.RetryWindow)
-	if b.Config.Off.SecondSends || float64(retries+1) > b.retryLimit(requests) && !b.Config.Off.RetryBudget {
-		return false
-	}
-	svc.budget.events[svc.budget.bucketAt(now, b.Config.RetryWindow)]++
-	return true
-}
-
-// retryLimit returns how many retries the budget allows beside a number of requests.
-func (b *Balancer) retryLimit(requests int) float64 {
-	return budgetShare * (b.Config.RetryRatio*float64(requests) + b.Config.RetryFloor/float64(b.entryCount))
+	return svc.retries.TryWithdraw(now) || b.Config.Off.RetryBudget
 }
 
 // RetriesLeft returns how many retries of a service the budget allows now, and the number of entry VMs that share it.
@@ -74,8 +73,7 @@
 	if svc == nil {
 		return 0, b.entryCount
 	}
-	requests, retries := svc.budget.totals(now, b.Config.RetryWindow)
-	return b.retryLimit(requests) - float64(retries), b.entryCount
+	return svc.retries.Left(now), b.entryCount
 }
 
 // RetrySharers returns the number of entry VMs that share the retry budgets.
--- a/pasteer/urgency.go
+++ b/pasteer/urgency.go
@@ -25,8 +25,7 @@
 func (b *Balancer) TakeRetryFor(service string, priority int, now time.Time) bool {
 	svc := b.services[service]
 	if svc != nil && b.contended(svc) && priority >= b.leastUrgent && b.mostUrgent < b.leastUrgent && !b.Config.Off.RetryBudget {
-		requests, retries := svc.budget.totals(now, b.Config.RetryWindow)
-		if float64(retries+1) > (1-keptRetryShare)*b.retryLimit(requests) {
+		if svc.retries.Left(now)-1 < keptRetryShare*svc.retries.Capacity(now) {
 			return false
 		}
 	}
