pashare, pagate: an entry VM has a part of the budget's floor only while all that have one count it

Cause: the floor was divided by the entry VMs that are registered at the moment. One that stops takes its registration away at once and serves on for its grace period, so that six of seven that stop saw one entry VM each, themselves.

Now a pashare.Census: a part only while the own registration is in the state, that is no older than shareMaxAge, and has been for as long; those that left count for as long again; none while shutting down. So those that have a part at a moment are counted by all that have one, and the parts add up to at most 1. Where a whole token each is more than there is, some have a part and others none, by the hash of the service.

--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -18,6 +18,7 @@
 	"papayahead/pafleet"
 	"papayahead/palane"
 	"papayahead/paquarantine"
+	"papayahead/pashare"
 	"papayahead/pasteer"
 )
 
@@ -63,6 +64,9 @@
 	pushbackLines tokenBucket
 	// fleetPeak is the peak number of registered entry VMs; only the control loop uses it.
 	fleetPeak fleetPeak
+	// census counts the entry VMs that share with this one; only the control loop uses it. sharers is their number.
+	census  pashare.Census
+	sharers atomic.Int64
 	// endLog bounds the log lines on requests that were refused or failed.
 	endLog tokenBucket
 	// startedAt and startUptime are when the process started; firstConfig is closed when it has a configuration.
@@ -128,6 +132,7 @@
 	}
 	g.requestsCtx, g.cancelRequests = context.WithCancel(context.Background())
 	g.startUptime = g.uptime()
+	g.census = pashare.Census{Name: s.Name, MaxAge: shareMaxAge(s)}
 	g.self.BornUp = g.startUptime.Milliseconds()
 	g.state.Store(&state{verifiedAt: longBeforeStart})
 	g.meter = newMeter(g)
--- a/pagate/meter.go
+++ b/pagate/meter.go
@@ -75,11 +75,7 @@
 		defer g.balancerMutex.Unlock()
 		return float64(g.balancer.DrainingTargets())
 	})
-	m.set.NewGauge("papayahead_gate_retry_sharers", func() float64 {
-		g.balancerMutex.Lock()
-		defer g.balancerMutex.Unlock()
-		return float64(g.balancer.RetrySharers())
-	})
+	m.set.NewGauge("papayahead_gate_retry_sharers", func() float64 { return float64(g.sharers.Load()) })
 	m.exportReturns(g)
 	m.set.NewGauge("papayahead_gate_held_body_bytes", func() float64 { return float64(g.buffers.Held()) })
 	m.set.NewGauge("papayahead_gate_lost_services", func() float64 { return float64(len(g.lost())) })
--- a/pagate/retry.go
+++ b/pagate/retry.go
@@ -1,9 +1,11 @@
 package pagate
 
 import (
+	"maps"
 	"time"
 
 	"papayahead/paevent"
+	"papayahead/pafleet"
 )
 
 // retryLogInterval is the time between two log lines on the retries of a service.
@@ -45,13 +47,24 @@
 	return ok
 }
 
-// accrueRetries adds what the retry budgets earn by time; it is called once a tick.
-func (g *Gate) accrueRetries(now time.Time) {
+// accrueRetries adds what the retry budgets earn by time; it is called once a tick. A process that shuts down earns nothing, as the
+// others may not count it any more.
+func (g *Gate) accrueRetries(v *pafleet.View, now time.Time) {
+	s, uptime := g.state.Load(), g.uptime()
+	g.census.Observe(maps.Keys(v.Entries), uint64(v.Entries[g.self.Name].Revision), uptime)
+	g.sharers.Store(int64(g.census.Count(uptime)))
+	part := func(service string, parts int) float64 { return g.census.Part(service, parts, g.age(s), uptime) }
+	if g.shuttingDown.Load() {
+		part = func(string, int) float64 { return 0 }
+	}
 	g.balancerMutex.Lock()
 	defer g.balancerMutex.Unlock()
-	g.balancer.AccrueRetries(now)
+	g.balancer.AccrueRetries(part, now)
 }
 
+// shareMaxAge is the age of the state from which this entry VM has no part of what all share. Usual states are half as old at most.
+func shareMaxAge(s Settings) time.Duration { return 2 * max(maxAge, s.MaxPropagation) }
+
 // logRetries logs, at most once per retryLogInterval, the retries of each service that has had any since.
 func (g *Gate) logRetries(now time.Time) {
 	g.balancerMutex.Lock()
@@ -61,9 +74,9 @@
 	}
 	var lines []paevent.RetriesDecided
 	for service, c := range g.retries.services {
-		left, entries := g.balancer.RetriesLeft(service, now)
 		lines = append(lines, paevent.RetriesDecided{
-			Subject: paevent.Subject{Service: service}, Granted: c.granted, Refused: c.refused, Left: left, Entries: entries,
+			Subject: paevent.Subject{Service: service}, Granted: c.granted, Refused: c.refused,
+			Left: g.balancer.RetriesLeft(service, now), Entries: int(g.sharers.Load()),
 		})
 	}
 	g.retries = retryLog{loggedAt: now}
--- a/pasteer/budget.go
+++ b/pasteer/budget.go
@@ -46,12 +46,16 @@
 }
 
 // countRequest adds a request to those that earn the service's retries.
-func (b *Balancer) countRequest(svc *service, now time.Time) { svc.retries.Deposit(b.retryAllowance(), now) }
+func (b *Balancer) countRequest(svc *service, now time.Time) {
+	svc.retries.Deposit(b.retryAllowance(), now)
+}
 
-// AccrueRetries adds what the retry budgets of all services earn by time. It is to be called several times a second.
-func (b *Balancer) AccrueRetries(now time.Time) {
-	for _, svc := range b.services {
-		svc.retries.Accrue(b.retryAllowance(), 1/float64(b.entryCount), now)
+// AccrueRetries adds what the retry budgets of all services earn by time. part returns this entry VM's part of a budget's floor that is
+// divided into a number of parts. It is to be called several times a second.
+func (b *Balancer) AccrueRetries(part func(service string, parts int) float64, now time.Time) {
+	a := b.retryAllowance()
+	for name, svc := range b.services {
+		svc.retries.Accrue(a, part(name, a.FloorParts()), now)
 	}
 }
 
@@ -67,14 +71,11 @@
 	return svc.retries.TryWithdraw(now) || b.Config.Off.RetryBudget
 }
 
-// RetriesLeft returns how many retries of a service the budget allows now, and the number of entry VMs that share it.
-func (b *Balancer) RetriesLeft(service string, now time.Time) (left float64, entries int) {
+// RetriesLeft returns how many retries of a service the budget allows now.
+func (b *Balancer) RetriesLeft(service string, now time.Time) float64 {
 	svc := b.services[service]
 	if svc == nil {
-		return 0, b.entryCount
+		return 0
 	}
-	return svc.retries.Left(now), b.entryCount
+	return svc.retries.Left(now)
 }
-
-// RetrySharers returns the number of entry VMs that share the retry budgets.
-func (b *Balancer) RetrySharers() int { return b.entryCount }
--- a/pasteer/pushback_model_test.go
+++ b/pasteer/pushback_model_test.go
@@ -166,7 +166,7 @@
 func (m *pushbackModel) tell(at time.Duration) {
 	now := begin.Add(at)
 	for _, b := range m.all {
-		b.AccrueRetries(now)
+		b.AccrueRetries(func(string, int) float64 { return 1 / float64(len(m.all)) }, now)
 		b.PushbackChanges(now)
 	}
 	if at%(500*time.Millisecond) == 0 {
