pasteer: an entry VM that shuts down sends nothing to cold targets

The rate of cold targets is divided among the entry VMs of their zone, or three others where there is none; one that stops leaves the count at once, and went on sending at its old share for its grace period. Now its share ends with the signal (Balancer.Leave), before the registration does.

TestColdRateWhileEntryVMsStop failed before (a request from the one that stops).

--- a/pagate/stop.go
+++ b/pagate/stop.go
@@ -55,6 +55,9 @@
 func (g *Gate) shutDown(hard context.Context, listener net.Listener) {
 	g.shutdownAt.Store(g.config.Clock.Now().UnixNano())
 	g.shuttingDown.Store(true)
+	g.balancerMutex.Lock()
+	g.balancer.Leave()
+	g.balancerMutex.Unlock()
 	g.limitWaiting()
 	g.requestRegistration()
 	g.record(paevent.Stopping{Reason: "signal", InFlight: int(g.inFlight.Load())})
--- a/pasteer/cold.go
+++ b/pasteer/cold.go
@@ -117,9 +117,11 @@
 	}
 }
 
-// coldShareOf returns the share of this entry VM in the rate of the target's zone, and whether it has one.
+// coldShareOf returns the share of this entry VM in the rate of the target's zone, and whether it has one. While it shuts down it has
+// none, as others take its share over.
 func (b *Balancer) coldShareOf(t *target, now time.Time) (coldShare, bool) {
 	share, ok := b.coldShares[t.state.Zone]
+	ok = ok && !b.leaving
 	if ok && now.Sub(b.startedAt) < startupGrace {
 		share.senders = max(share.senders, b.maxEntriesPerZone)
 		ok = t.distance == sameZone
--- a/pasteer/cold_test.go
+++ b/pasteer/cold_test.go
@@ -151,6 +151,48 @@
 	}
 }
 
+// Guards against an entry VM that stops and goes on sending to the cold targets of its zone while others take its share over. In the
+// second after the stop, targets got more than 1.5 times their rate plus 5.
+func TestColdRateWhileEntryVMsStop(t *testing.T) {
+	v := fleet(1)
+	for _, m := range v.Targets {
+		m.ColdUntil = begin.Add(time.Minute)
+	}
+	stays := []*Balancer{}
+	for i := range 4 {
+		name := fmt.Sprint("entry-a2-", i)
+		v.Apply(pafleet.EntryUpdated{Entry: pafleet.Entry{Name: name, Zone: "a2", Region: "a", Revision: pafleet.Revision(1000 + i)}}, begin)
+		stays = append(stays, New(Config{Name: name, Zone: "a2", Region: "a", Regions: regions}))
+	}
+	stops := newBalancer("a1", v)
+	for _, b := range stays {
+		b.Update(v, begin.Add(-time.Minute))
+	}
+	v.Apply(pafleet.EntryRemoved{Name: "entry-a1", Revision: 2000}, begin)
+	stops.Leave()
+	for _, b := range append(stays, stops) {
+		b.Update(v, begin)
+	}
+	sent := map[*Balancer]int{}
+	for tick := range 100 {
+		now := begin.Add(time.Duration(tick) * 10 * time.Millisecond)
+		for i, b := range append(stays, stops) {
+			c := b.Choose(request(fmt.Sprint(tick*31+i), now), now)
+			if c.Target == "a1-0" {
+				b.Start(c, request("", now), now)
+				b.Finish(Report{Target: c.Target, Route: "r", Outcome: Answered, Duration: time.Millisecond}, now)
+				sent[b]++
+			}
+		}
+	}
+	if sent[stops] > 0 {
+		t.Errorf("%d requests to a cold target by the entry VM that stops, want none", sent[stops])
+	}
+	if sent[stays[0]]+sent[stays[1]]+sent[stays[2]]+sent[stays[3]] == 0 {
+		t.Error("nobody else sends to it")
+	}
+}
+
 // A target that turns cold says so in its responses at once, and the store a heartbeat and a reading later; until then it got full traffic.
 func TestColdWordOfAResponseCounts(t *testing.T) {
 	b := newBalancer("a1", fleet(2))
--- a/pasteer/update.go
+++ b/pasteer/update.go
@@ -40,6 +40,10 @@
 	b.reconsiderAll(now)
 }
 
+// Leave records that this entry VM shuts down. It uses nothing more of what entry VMs divide by their registrations, since the others
+// divide it without this one from now on; what it has in progress and what it earned itself it may use to the end.
+func (b *Balancer) Leave() { b.leaving = true }
+
 // updateServices applies the services of the configuration and empties their lists of targets.
 func (b *Balancer) updateServices(c *paroute.Config) {
 	for name := range b.services {
