pasteer: an entry VM that shuts down sends nothing to targets that name a limit

Targets that name a rate got up to twice that (34 requests in 4 s at 3.9 a second, 28.4 allowed, in the model) while entry VMs stopped: each that stops is gone from the registrations, so that others take its place among the senders, and took itself for the first of those that remain. Requests that reach it go to a sender, as at any entry VM that is none. TestLimitHoldsWhileEntryVMsStop failed before.

--- a/pasteer/limit.go
+++ b/pasteer/limit.go
@@ -129,7 +129,7 @@
 	if !t.isLimited(now) || b.Config.Off.Limits {
 		return true
 	}
-	return t.limit.index != noSender && t.limit.refill(now) >= 1 && now.Sub(b.startedAt) >= startupGrace
+	return !b.leaving && t.limit.index != noSender && t.limit.refill(now) >= 1 && now.Sub(b.startedAt) >= startupGrace
 }
 
 // takeLimited takes the token of a request that is sent.
--- a/pasteer/limit_test.go
+++ b/pasteer/limit_test.go
@@ -266,6 +266,28 @@
 	}
 }
 
+// Guards against entry VMs that stop together and serve on: each of them once took itself for the first sender of those that remain.
+func TestLimitHoldsWhileEntryVMsStop(t *testing.T) {
+	m := newLimitModel(7, func(target string, at time.Duration) float64 {
+		if target == "b1-0" {
+			return 3.9
+		}
+		return -1
+	})
+	m.run(0, 4*time.Second, 4)
+	for i, b := range m.all[:6] {
+		m.view.Apply(pafleet.EntryRemoved{Name: fmt.Sprint("entry-", i), Revision: 2000}, begin)
+		b.Leave()
+	}
+	for _, b := range m.all {
+		b.Update(m.view, begin.Add(4*time.Second))
+	}
+	m.run(4*time.Second, 10*time.Second, 4)
+	if got := m.most("b1-0", 4*time.Second, 10*time.Second); float64(got) > 1.5*3.9*4+5 {
+		t.Errorf("%d requests in 4 s, want at most %v", got, 1.5*3.9*4+5)
+	}
+}
+
 // Of a target that nobody sends to, nobody hears that its limit is over; after a while it is asked.
 func TestALimitEndsThoughNoObjectIsAtTheTarget(t *testing.T) {
 	m := newLimitModel(7, nil)
