pasteer, pagate: spacing after a pushback counts the entry VMs that just left

Now those that left a moment ago count, as the census of the budget has them. The test fails without SetSharers.

--- a/pagate/loop.go
+++ b/pagate/loop.go
@@ -42,7 +42,7 @@
 			g.relayConns.closeExpired(now)
 			g.senderConns.closeExpired(now)
 			g.logDroppedLines()
-			g.accrueRetries(&v, now)
+			g.updateShares(&v, now)
 			g.logRetries(now)
 			g.endPushbacks()
 			g.quarantineChanged(g.quarantine.Tick(now))
--- a/pagate/retry.go
+++ b/pagate/retry.go
@@ -47,18 +47,20 @@
 	return ok
 }
 
-// accrueRetries adds what the retry budgets earn by time; it is called once a tick. A process that shuts down earns nothing, as the
+// updateShares counts the entry VMs that share with this one, and adds what the retry budgets earn by time; it is called once a tick. A process that shuts down earns nothing, as the
 // others may not count it any more.
-func (g *Gate) accrueRetries(v *pafleet.View, now time.Time) {
+func (g *Gate) updateShares(v *pafleet.View, now time.Time) {
 	s, uptime := g.state.Load(), g.uptime()
 	g.census.Observe(maps.Keys(v.Entries), uint64(v.Entries[g.self.Name].Revision), uptime)
-	g.sharers.Store(int64(g.census.Count(uptime)))
+	sharers := g.census.Count(uptime)
+	g.sharers.Store(int64(sharers))
 	part := func(service string, parts int) float64 { return g.census.Part(service, parts, g.age(s), uptime) }
 	if g.shuttingDown.Load() {
 		part = func(string, int) float64 { return 0 }
 	}
 	g.balancerMutex.Lock()
 	defer g.balancerMutex.Unlock()
+	g.balancer.SetSharers(sharers)
 	g.balancer.AccrueRetries(part, now)
 }
 
--- a/pasteer/balancer.go
+++ b/pasteer/balancer.go
@@ -56,9 +56,9 @@
 	notes noteLog
 	// startedAt is the time of the first Update.
 	startedAt time.Time
-	// entryCount is the number of entry VMs, which share the retry budget; maxEntriesPerZone is the largest number of
-	// other entry VMs in one availability zone, at least 1.
-	entryCount, maxEntriesPerZone int
+	// entryCount is the number of entry VMs by which the requests after a pushback are spaced: sharers, or the registered ones if that is
+	// more. maxEntriesPerZone is the largest number of other entry VMs in one availability zone, at least 1.
+	entryCount, sharers, maxEntriesPerZone int
 	// hash is the hash of Config.Name; regionPeers are the other entry VMs of the region.
 	hash        uint64
 	regionPeers []regionPeer
--- a/pasteer/pushback_test.go
+++ b/pasteer/pushback_test.go
@@ -311,3 +311,19 @@
 		}
 	})
 }
+
+// Guards against entry VMs that stop together: each counted itself alone, and sent to a target that came back seven times its part.
+func TestSpacingAfterAPushbackCountsThoseThatJustLeft(t *testing.T) {
+	v := fleet(2)
+	b := newBalancer("a1", v)
+	before := len(v.Entries)
+	b.SetSharers(before)
+	for zone := range regions {
+		v.Apply(pafleet.EntryRemoved{Name: "entry-" + zone, Revision: 2000}, begin)
+	}
+	b.Update(v, begin)
+	p := pushback{answeredAt: begin, runTime: time.Second}
+	if got, want := p.interval(begin, b.entryCount, 3), p.interval(begin, before, 3); got != want {
+		t.Errorf("a request each %v, want %v", got, want)
+	}
+}
--- a/pasteer/update.go
+++ b/pasteer/update.go
@@ -20,7 +20,7 @@
 	}
 	b.updateColdShares(v)
 	b.updateEntries(v)
-	b.entryCount = max(1, len(v.Entries))
+	b.entryCount = max(1, len(v.Entries), b.sharers)
 	b.updateServices(v.Config)
 	for id, t := range b.targets {
 		if v.Targets[id] == nil {
@@ -44,6 +44,12 @@
 // divide it without this one from now on; what it has in progress and what it earned itself it may use to the end.
 func (b *Balancer) Leave() { b.leaving = true }
 
+// SetSharers sets the number of entry VMs that count as sharing with this one, those that left a moment ago included.
+func (b *Balancer) SetSharers(n int) {
+	b.sharers = n
+	b.entryCount = max(1, n)
+}
+
 // updateServices applies the services of the configuration and empties their lists of targets.
 func (b *Balancer) updateServices(c *paroute.Config) {
 	for name := range b.services {
