pagate: the head of a target's response is bounded

A target in trouble may send bytes that are no answer and never end. net/http reads the head of a response to its end: a status line, a header or header lines without end filled the memory of the entry VM until the request's deadline (seconds at the speed of the link), and the caller got 504 then, with no second attempt. A response to another request whose body is too long to skip ends the connection, as what follows in it is no head.

--- a/pagate/buffer_test.go
+++ b/pagate/buffer_test.go
@@ -60,7 +60,7 @@
 func (g *Gate) receive(x *exchange) attemptResult {
 	own, other := net.Pipe()
 	other.Close()
-	a := &attempt{gate: g, x: x, conn: &targetConn{Conn: own, reader: bufio.NewReader(own)}, writeErr: make(chan error, 1)}
+	a := &attempt{gate: g, x: x, conn: &targetConn{Conn: own, reader: bufio.NewReader(own), head: &headBound{}}, writeErr: make(chan error, 1)}
 	body := io.NopCloser(io.LimitReader(zeros{}, slowBody))
 	r := &http.Response{StatusCode: http.StatusOK, Header: http.Header{}, Body: body, ContentLength: slowBody, Close: true}
 	return a.readBody(context.Background(), r, attemptResult{outcome: pasteer.Answered})
--- a/pagate/pool.go
+++ b/pagate/pool.go
@@ -37,7 +37,9 @@
 // targetConn is a connection to one run of a target.
 type targetConn struct {
 	net.Conn
-	reader  *bufio.Reader
+	reader *bufio.Reader
+	// head bounds what reader reads of the head of a response.
+	head    *headBound
 	address netip.AddrPort
 	target  string
 	born    int64
@@ -122,9 +124,10 @@
 	if err != nil {
 		return nil, trace.ConnectionProblem(err, "connect to target")
 	}
+	head := &headBound{Reader: raw}
 	return &targetConn{
-		Conn: raw, reader: bufio.NewReaderSize(raw, connBufferSize), address: address, target: target, born: born, idleLimit: maxConnIdle,
-		opened: p.clock.Now(),
+		Conn: raw, reader: bufio.NewReaderSize(head, connBufferSize), head: head, address: address, target: target, born: born,
+		idleLimit: maxConnIdle, opened: p.clock.Now(),
 	}, nil
 }
 
--- a/pagate/response.go
+++ b/pagate/response.go
@@ -20,11 +20,11 @@
 var errStray = errors.New("connection carries only responses to other requests")
 
 // readResponse returns the response to this request. Responses to other requests, which arrive late or twice, are
-// detected by their request ID and skipped.
+// detected by their request ID and skipped. What follows one that is too long to skip is no head.
 func (a *attempt) readResponse(r *http.Request) (*http.Response, error) {
 	names := a.gate.config.Headers
 	for range maxStrayAnswers {
-		response, err := http.ReadResponse(a.conn.reader, r)
+		response, err := a.conn.readHead(r)
 		if err != nil {
 			return nil, err
 		}
@@ -39,8 +39,8 @@
 		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
 			return nil, errStray
 		}
-		if _, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBuffered)); err != nil {
-			return nil, err
+		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBuffered)); err != nil || n == maxBuffered {
+			return nil, errors.Join(errStray, err)
 		}
 	}
 	return nil, errStray
