pasteer: cold shares stay as they were while the store has forgotten this entry VM

Where leases lapse in an outage of the store, its first listing names no entry VM. The others are missing for the same reason as the own registration, so the shares stay until that is back. TestColdRateWhileNobodyIsRegistered failed before.

--- a/pasteer/balancer.go
+++ b/pasteer/balancer.go
@@ -65,8 +65,8 @@
 	// coldShares holds, by zone, this entry VM's share of the rate that cold targets bear. Cold targets of zones
 	// that are missing here get no requests from it.
 	coldShares map[string]coldShare
-	// leaving is set while this entry VM shuts down.
-	leaving bool
+	// leaving is set while this entry VM shuts down, wasRegistered once a view had its registration.
+	leaving, wasRegistered bool
 	// entries are the other registered entry VMs, among which the limits of targets are divided; limitSeq numbers the notes
 	// on limits.
 	entries  []knownEntry
--- a/pasteer/cold.go
+++ b/pasteer/cold.go
@@ -87,6 +87,9 @@
 	for _, names := range zones {
 		b.maxEntriesPerZone = max(b.maxEntriesPerZone, len(names))
 	}
+	if b.isForgotten(v) {
+		return
+	}
 	b.coldShares = map[string]coldShare{}
 	for zone, region := range b.Config.Regions {
 		names := zones[zone]
@@ -117,6 +120,14 @@
 	}
 }
 
+// isForgotten reports whether the view lacks this entry VM's own registration although an earlier one had it: the store was away and its leases
+// lapsed. The others are missing for the same reason, and the shares stay as they were until the registrations are back.
+func (b *Balancer) isForgotten(v *pafleet.View) bool {
+	_, registered := v.Entries[b.Config.Name]
+	b.wasRegistered = b.wasRegistered || registered
+	return !registered && !b.leaving && b.wasRegistered
+}
+
 // coldShareOf returns the share of this entry VM in the rate of the target's zone, and whether it has one. While it shuts down it has
 // none, as others take its share over.
 func (b *Balancer) coldShareOf(t *target, now time.Time) (coldShare, bool) {
--- a/pasteer/cold_test.go
+++ b/pasteer/cold_test.go
@@ -193,6 +193,46 @@
 	}
 }
 
+// Guards against leases that lapse while the store is away: when it answers again nobody is registered for a moment, and each entry VM
+// took itself for the only one and sent cold targets the whole rate.
+func TestColdRateWhileNobodyIsRegistered(t *testing.T) {
+	v := fleet(1)
+	for _, m := range v.Targets {
+		m.ColdUntil = begin.Add(time.Minute)
+	}
+	var all []*Balancer
+	for zone, region := range regions {
+		b := New(Config{Name: "entry-" + zone, Zone: zone, Region: region, Regions: regions})
+		b.Update(v, begin.Add(-time.Minute))
+		all = append(all, b)
+	}
+	for _, b := range all {
+		v.Apply(pafleet.EntryRemoved{Name: b.Config.Name, Revision: 2000}, begin)
+	}
+	for _, b := range all {
+		b.Update(v, begin)
+	}
+	sent := map[string]int{}
+	for tick := range 100 {
+		now := begin.Add(time.Duration(tick) * 10 * time.Millisecond)
+		for i, b := range all {
+			if c := b.Choose(request(fmt.Sprint(tick*31+i), now), now); c.Target != "" {
+				b.Start(c, request("", now), now)
+				b.Finish(Report{Target: c.Target, Route: "r", Outcome: Answered, Duration: time.Millisecond}, now)
+				sent[c.Target]++
+			}
+		}
+	}
+	for id, n := range sent {
+		if n > 8 {
+			t.Errorf("cold target %s got %d requests in a second, want at most 8", id, n)
+		}
+	}
+	if len(sent) == 0 {
+		t.Error("cold targets got no requests")
+	}
+}
+
 // A target that turns cold says so in its responses at once, and the store a heartbeat and a reading later; until then it got full traffic.
 func TestColdWordOfAResponseCounts(t *testing.T) {
 	b := newBalancer("a1", fleet(2))
