--- /dev/null
+++ b/pahash/doc.go
@@ -0,0 +1,2 @@
+// Package pahash hashes names, the same at all entry VMs.
+package pahash
--- a/pashare/census.go
+++ b/pashare/census.go
@@ -4,7 +4,7 @@
 	"iter"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
+	"papayahead/pahash"
 )
 
 // Census counts the entry VMs that share with this one. Times are since any fixed moment, on a clock that goes on while the VM is
@@ -110,25 +110,16 @@
 
 // rank returns how many others come before this entry VM in an order by the hashes of names with the name of what is divided.
 func (c *Census) rank(name string) (before int) {
-	own := hashOf(name, c.Name)
+	own := pahash.Pair(name, c.Name)
 	for other := range c.registered {
-		if hashOf(name, other) > own {
+		if pahash.Pair(name, other) > own {
 			before++
 		}
 	}
 	for other := range c.departed {
-		if hashOf(name, other) > own {
+		if pahash.Pair(name, other) > own {
 			before++
 		}
 	}
 	return before
 }
-
-func hashOf(name, entry string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(name)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(entry)
-	return d.Sum64()
-}
--- a/pasteer/choose.go
+++ b/pasteer/choose.go
@@ -6,8 +6,7 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"papayahead/pahash"
 	"papayahead/paroute"
 	"papayahead/pawaiting"
 )
@@ -111,7 +110,7 @@
 func (b *Balancer) PickService(r *paroute.Route, now time.Time) string {
 	p := b.splits[r.Name]
 	if p == nil {
-		p = &paroute.Splitter{Seed: hashPair(b.Config.Name, r.Name)}
+		p = &paroute.Splitter{Seed: pahash.Pair(b.Config.Name, r.Name)}
 		b.splits[r.Name] = p
 	}
 	name := p.Next(r.Parts)
@@ -166,7 +165,7 @@
 	if q.cachedKey != 0 {
 		return q.cachedKey
 	}
-	return hashPair(q.Service, q.Object)
+	return pahash.Pair(q.Service, q.Object)
 }
 
 // allows reports whether the request may be handled in a region.
@@ -188,16 +187,6 @@
 	return t.viaRelay || !now.Before(t.backoffUntil) && (b.Config.Off.SilentTargets || !t.unresponsive(now) || !now.Before(t.nextTryAt))
 }
 
-// hashPair hashes two names.
-func hashPair(first, second string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	_, _ = d.WriteString(first)
-	_, _ = d.WriteString("\x00")
-	_, _ = d.WriteString(second)
-	return d.Sum64()
-}
-
 func sortByID(all []*target) {
 	slices.SortFunc(all, func(a, b *target) int { return cmp.Compare(a.state.ID, b.state.ID) })
 }
--- a/pasteer/cold.go
+++ b/pasteer/cold.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"papayahead/pafleet"
+	"papayahead/pahash"
 )
 
 // bucket is a token bucket with a capacity of one request. The zero value is full.
@@ -105,9 +106,9 @@
 			continue
 		}
 		share := coldShare{senders: len(names) + 1}
-		ownHash := hashPair(zone, b.Config.Name)
+		ownHash := pahash.Pair(zone, b.Config.Name)
 		for _, name := range names {
-			if hashPair(zone, name) > ownHash {
+			if pahash.Pair(zone, name) > ownHash {
 				share.index++
 			}
 		}
--- a/pasteer/note.go
+++ b/pasteer/note.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"papayahead/pafleet"
+	"papayahead/pahash"
 )
 
 const (
@@ -120,7 +121,7 @@
 
 // applyNote records that the target handled the object at the given time, and reports whether that is new.
 func (b *Balancer) applyNote(t *target, object string, at time.Time) bool {
-	key := hashPair(t.state.Service, object)
+	key := pahash.Pair(t.state.Service, object)
 	if latest, ok := t.warm.notedAt[key]; ok && at.Sub(latest) < minNoteAdvance {
 		return false
 	}
@@ -133,7 +134,7 @@
 	if object == "" {
 		return
 	}
-	key := hashPair(t.state.Service, object)
+	key := pahash.Pair(t.state.Service, object)
 	known := t.warm.has(key, now)
 	b.addWarm(t, key, object, now)
 	since := now.Sub(t.warm.notedAt[key])
--- a/pasteer/shift.go
+++ b/pasteer/shift.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"papayahead/pahash"
 )
 
 const (
@@ -40,7 +42,7 @@
 func (q Request) lastTargetKey() uint64 {
 	key := q.key()
 	for _, r := range q.Regions {
-		key ^= hashPair(q.Service, r)
+		key ^= pahash.Pair(q.Service, r)
 	}
 	return key
 }
--- a/pasteer/shift_test.go
+++ b/pasteer/shift_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"papayahead/pafleet"
+	"papayahead/pahash"
 )
 
 // Guards against holding requests in the wrong region. The entry VMs of a region are stopped, and its callers come to an entry
@@ -47,14 +48,14 @@
 	notes, _ := b.WarmObjects(2*displaced, begin.Add(time.Second))
 	found := 0
 	for _, n := range notes {
-		if b.displaced(b.targets[n.Target], hashPair("s", n.Object)) == 1 {
+		if b.displaced(b.targets[n.Target], pahash.Pair("s", n.Object)) == 1 {
 			found++
 		}
 	}
 	all, _ := b.WarmObjects(100, begin.Add(time.Second))
 	want := 0
 	for _, n := range all {
-		want += b.displaced(b.targets[n.Target], hashPair("s", n.Object))
+		want += b.displaced(b.targets[n.Target], pahash.Pair("s", n.Object))
 	}
 	if found != min(want, 2*displaced) || found < displaced {
 		t.Errorf("%d of %d displaced objects are listed", found, want)
