--- /dev/null
+++ b/pabucket/doc.go
@@ -0,0 +1,2 @@
+// Package pabucket implements token buckets, which bound log lines and notes to neighbours.
+package pabucket
--- a/pagate/answer.go
+++ b/pagate/answer.go
@@ -178,7 +178,7 @@
 		if !g.meter.sampleServed() {
 			return
 		}
-	} else if !g.endLog.take(g.config.Clock.Now()) {
+	} else if !g.endLog.Take(g.config.Clock.Now()) {
 		g.meter.unloggedEnds.Inc()
 		return
 	}
--- a/pagate/draining.go
+++ b/pagate/draining.go
@@ -19,7 +19,7 @@
 		g.wakeReleased()
 	}
 	g.balancerMutex.Unlock()
-	if isNew && g.pushbackLines.take(g.config.Clock.Now()) {
+	if isNew && g.pushbackLines.Take(g.config.Clock.Now()) {
 		g.record(paevent.TargetDraining{Target: target, Service: service, Born: born})
 	}
 }
--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -12,6 +12,7 @@
 
 	"github.com/gravitational/trace"
 
+	"papayahead/pabucket"
 	"papayahead/pabuffer"
 	"papayahead/paclock"
 	"papayahead/paevent"
@@ -61,14 +62,14 @@
 	// unreadablePushbacks are the targets that asked for no requests for something that is no time, as logged.
 	unreadablePushbacks sync.Map
 	// pushbackLines bounds the log lines on targets that want no requests.
-	pushbackLines tokenBucket
+	pushbackLines pabucket.Bucket
 	// fleetPeak is the peak number of registered entry VMs; only the control loop uses it.
-	fleetPeak fleetPeak
+	fleetPeak pashare.Peak
 	// census counts the entry VMs that share with this one; only the control loop uses it. sharers is their number.
 	census  pashare.Census
 	sharers atomic.Int64
 	// endLog bounds the log lines on requests that were refused or failed.
-	endLog tokenBucket
+	endLog pabucket.Bucket
 	// startedAt and startUptime are when the process started; firstConfig is closed when it has a configuration.
 	startedAt   time.Time
 	startUptime time.Duration
@@ -115,9 +116,9 @@
 			LinkMbps: s.LinkMbps,
 		},
 		events:        make(chan event, maxEvents),
-		logged:        logState{appliedLines: tokenBucket{rate: appliedLineRate, burst: appliedLineBurst}},
-		endLog:        tokenBucket{rate: endLineRate, burst: endLineBurst},
-		pushbackLines: tokenBucket{rate: changeLineRate, burst: changeLineBurst},
+		logged:        logState{appliedLines: pabucket.Bucket{Rate: appliedLineRate, Burst: appliedLineBurst}},
+		endLog:        pabucket.Bucket{Rate: endLineRate, Burst: endLineBurst},
+		pushbackLines: pabucket.Bucket{Rate: changeLineRate, Burst: changeLineBurst},
 		startedAt:     c.Clock.Now(), firstConfig: make(chan struct{}),
 		reregister: make(chan struct{}, 1), pathFailed: make(chan struct{}, 1), lostSince: map[string]time.Time{},
 		waiting: map[*pasteer.Waiter]*waitingRequest{},
--- a/pagate/gossip_test.go
+++ b/pagate/gossip_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"papayahead/pabucket"
 	"papayahead/pafleet"
 	"papayahead/paroute"
 	"papayahead/pasteer"
@@ -21,7 +22,7 @@
 	// asks lists for each entry VM the ones that it asks, and after the last note that it got from each of these.
 	asks   [][]int
 	after  [][]uint64
-	budget []*tokenBucket
+	budget []*pabucket.Bucket
 	random *rand.Rand
 	// sent are the notes that each sent in all, inSecond those of the current second, and peak the most in a second.
 	sent, inSecond, peak []int
@@ -32,7 +33,7 @@
 var gossipStart = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 
 func newGossipSim(entries, regions int) *gossipSim {
-	o := &gossipSim{random: rand.New(rand.NewPCG(3, 5)), budget: make([]*tokenBucket, entries)}
+	o := &gossipSim{random: rand.New(rand.NewPCG(3, 5)), budget: make([]*pabucket.Bucket, entries)}
 	o.sent, o.inSecond, o.peak = make([]int, entries), make([]int, entries), make([]int, entries)
 	v := &pafleet.View{}
 	zones := map[string]string{}
@@ -47,7 +48,7 @@
 		zones[region] = region
 		e := pafleet.Entry{Name: fmt.Sprint("e", i), Zone: region, Region: region}
 		index[e.Name] = i
-		o.budget[i] = &tokenBucket{rate: notesPerSecond, burst: maxNoteBurst}
+		o.budget[i] = &pabucket.Bucket{Rate: notesPerSecond, Burst: maxNoteBurst}
 		o.entries = append(o.entries, e)
 	}
 	v.ApplyListing(changes, gossipTargets+2, gossipStart)
@@ -87,9 +88,9 @@
 const replyDelay = 20 * time.Millisecond
 
 func (o *gossipSim) call(to, edge, from int, now time.Time) {
-	most := o.budget[from].available(now)
+	most := o.budget[from].Available(now)
 	notes, last := o.balancers[from].WarmNotes(o.after[to][edge], most, now)
-	o.budget[from].spend(len(notes))
+	o.budget[from].Spend(len(notes))
 	o.after[to][edge] = last
 	o.sent[from] += len(notes)
 	o.inSecond[from] += len(notes)
--- a/pagate/loadnote.go
+++ b/pagate/loadnote.go
@@ -46,11 +46,11 @@
 // loadsAfter returns the notes on loads after one that the neighbour has, as far as the budget allows.
 func (p *peers) loadsAfter(after uint64, relayed bool) (*pawire.LoadNotes, uint64) {
 	now := p.gate.config.Clock.Now()
-	count := min(maxLoadsPerCall, p.loadBudget.available(now))
+	count := min(maxLoadsPerCall, p.loadBudget.Available(now))
 	p.gate.balancerMutex.Lock()
 	all, last := p.gate.balancer.LoadNotes(after, count, relayed, now)
 	p.gate.balancerMutex.Unlock()
-	p.loadBudget.spend(len(all))
+	p.loadBudget.Spend(len(all))
 	p.gate.meter.loadNotesSent.Add(len(all))
 	return encodeLoads(all), last
 }
--- a/pagate/logging.go
+++ b/pagate/logging.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"papayahead/pabucket"
 	"papayahead/paevent"
 	"papayahead/pafleet"
 )
@@ -38,7 +39,7 @@
 	staleSince time.Duration
 	// changeLines bounds the lines on single targets and entry VMs; suppressed counts those left out since the
 	// last FleetChanged.
-	changeLines tokenBucket
+	changeLines pabucket.Bucket
 	suppressed  int
 	// source is where the current change came from: sourceStore, a neighbour's name, or "".
 	source string
@@ -47,7 +48,7 @@
 	hops, operatorHops int
 	// lastApplied is the process whose reply last raised the revision; appliedLines bounds the lines on that.
 	lastApplied  processRun
-	appliedLines tokenBucket
+	appliedLines pabucket.Bucket
 }
 
 // processRun identifies one run of an entry VM's process.
@@ -61,7 +62,7 @@
 
 // logChange logs a change of one target or entry VM, unless changeLines is used up.
 func (g *Gate) logChange(e paevent.Event, now time.Time) {
-	if g.logged.changeLines.take(now) {
+	if g.logged.changeLines.Take(now) {
 		g.record(e)
 		return
 	}
@@ -75,7 +76,7 @@
 	}
 	if g.logged.targets == nil {
 		// The bucket starts empty, so that of the first view only the numbers are logged.
-		g.logged.changeLines = tokenBucket{rate: changeLineRate, burst: changeLineBurst, refilledAt: now}
+		g.logged.changeLines = pabucket.Empty(changeLineRate, changeLineBurst, now)
 		g.logged.targets, g.logged.entries = map[string]paevent.TargetKnown{}, map[string]string{}
 	}
 	draining := g.logTargetChanges(v, now)
@@ -154,7 +155,7 @@
 		return
 	}
 	g.logged.lastApplied = from
-	if g.logged.appliedLines.take(now) {
+	if g.logged.appliedLines.Take(now) {
 		g.record(e)
 	}
 }
--- a/pagate/loop.go
+++ b/pagate/loop.go
@@ -81,7 +81,7 @@
 		}
 		_, next.registered = v.Entries[g.self.Name]
 		next.evacuated = slices.Sorted(maps.Keys(v.Evacuated))
-		next.fleetPeak = g.fleetPeak.observe(len(v.Entries), g.uptime())
+		next.fleetPeak = g.fleetPeak.Observe(len(v.Entries), g.uptime())
 		if v.Config != nil && (old.table == nil || old.table.Config != v.Config) {
 			next.table = paroute.NewTable(v.Config)
 			g.logKeyChanges(old.table, next.table)
--- a/pagate/peers.go
+++ b/pagate/peers.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"papayahead/pabucket"
 	"papayahead/paevent"
 	"papayahead/pafleet"
 )
@@ -33,15 +34,15 @@
 	known map[string]*peer
 	conns map[netip.AddrPort]*peerConn
 	// noteBudget bounds the warm notes sent to neighbours.
-	noteBudget tokenBucket
+	noteBudget pabucket.Bucket
 	// endBudget bounds the findings on ended targets sent to neighbours; woken has them called at once.
-	endBudget tokenBucket
+	endBudget pabucket.Bucket
 	// limitBudget bounds the notes on limits of targets sent to neighbours.
-	limitBudget tokenBucket
+	limitBudget pabucket.Bucket
 	// pushbackBudget bounds the notes on pushbacks sent to neighbours.
-	pushbackBudget tokenBucket
+	pushbackBudget pabucket.Bucket
 	// loadBudget bounds the notes on loads of targets sent to neighbours.
-	loadBudget tokenBucket
+	loadBudget pabucket.Bucket
 	woken      chan struct{}
 	// fullSyncRunning says that a neighbour is being asked for its whole state, for want of history.
 	fullSyncRunning atomic.Bool
@@ -66,11 +67,11 @@
 func newPeers(g *Gate) *peers {
 	return &peers{
 		gate: g, known: map[string]*peer{}, conns: map[netip.AddrPort]*peerConn{},
-		noteBudget:  tokenBucket{rate: notesPerSecond, burst: maxNoteBurst},
-		endBudget:   tokenBucket{rate: endsPerSecond, burst: maxEndBurst},
-		limitBudget: tokenBucket{rate: limitsPerSecond, burst: maxLimitBurst}, woken: make(chan struct{}, 1),
-		pushbackBudget: tokenBucket{rate: pushbacksPerSecond, burst: maxPushbackBurst},
-		loadBudget:     tokenBucket{rate: loadsPerSecond, burst: maxLoadBurst},
+		noteBudget:  pabucket.Bucket{Rate: notesPerSecond, Burst: maxNoteBurst},
+		endBudget:   pabucket.Bucket{Rate: endsPerSecond, Burst: maxEndBurst},
+		limitBudget: pabucket.Bucket{Rate: limitsPerSecond, Burst: maxLimitBurst}, woken: make(chan struct{}, 1),
+		pushbackBudget: pabucket.Bucket{Rate: pushbacksPerSecond, Burst: maxPushbackBurst},
+		loadBudget:     pabucket.Bucket{Rate: loadsPerSecond, Burst: maxLoadBurst},
 	}
 }
 
--- a/pagate/pushback.go
+++ b/pagate/pushback.go
@@ -50,7 +50,7 @@
 		if !c.Ended {
 			g.meter.pushbacks.Inc()
 		}
-		if !g.pushbackLines.take(g.config.Clock.Now()) {
+		if !g.pushbackLines.Take(g.config.Clock.Now()) {
 			continue
 		}
 		if c.Ended {
--- a/pagate/pushbacknote.go
+++ b/pagate/pushbacknote.go
@@ -18,11 +18,11 @@
 // pushbacksAfter returns the notes on pushbacks after one that the neighbour has, as far as the budget allows.
 func (p *peers) pushbacksAfter(after uint64) (out []*pawire.PushbackNote, last uint64) {
 	now := p.gate.config.Clock.Now()
-	count := min(maxPushbacksPerCall, p.pushbackBudget.available(now))
+	count := min(maxPushbacksPerCall, p.pushbackBudget.Available(now))
 	p.gate.balancerMutex.Lock()
 	all, last := p.gate.balancer.PushbackNotes(after, count, now)
 	p.gate.balancerMutex.Unlock()
-	p.pushbackBudget.spend(len(all))
+	p.pushbackBudget.Spend(len(all))
 	for _, n := range all {
 		out = append(out, &pawire.PushbackNote{
 			Target: n.Target, Born: n.Born, AgeMilliseconds: uint32(n.Age.Milliseconds()), LeftMilliseconds: uint32(n.Left.Milliseconds()),
--- a/pagate/quarantine.go
+++ b/pagate/quarantine.go
@@ -102,8 +102,8 @@
 // endsAfter returns the findings on ended targets after one that the neighbour has, as far as the budget allows.
 func (p *peers) endsAfter(after uint64) ([]*pawire.EndFinding, uint64) {
 	now := p.gate.config.Clock.Now()
-	all, last := p.gate.quarantine.After(after, min(maxEndsPerCall, p.endBudget.available(now)))
-	p.endBudget.spend(len(all))
+	all, last := p.gate.quarantine.After(after, min(maxEndsPerCall, p.endBudget.Available(now)))
+	p.endBudget.Spend(len(all))
 	out := make([]*pawire.EndFinding, len(all))
 	for i, f := range all {
 		out[i] = encodeFinding(f, now)
--- a/pagate/targetlimit.go
+++ b/pagate/targetlimit.go
@@ -43,11 +43,11 @@
 // limitsAfter returns the notes on limits after one that the neighbour has, as far as the budget allows.
 func (p *peers) limitsAfter(after uint64) (out []*pawire.LimitNote, last uint64) {
 	now := p.gate.config.Clock.Now()
-	count := min(maxLimitsPerCall, p.limitBudget.available(now))
+	count := min(maxLimitsPerCall, p.limitBudget.Available(now))
 	p.gate.balancerMutex.Lock()
 	all, last := p.gate.balancer.LimitNotes(after, count, now)
 	p.gate.balancerMutex.Unlock()
-	p.limitBudget.spend(len(all))
+	p.limitBudget.Spend(len(all))
 	for _, n := range all {
 		out = append(out, &pawire.LimitNote{
 			Target: n.Target, Born: n.Born, Limited: n.Limited, PerSecond: n.PerSecond, AgeMilliseconds: uint32(n.Age.Milliseconds()),
--- a/pagate/warm.go
+++ b/pagate/warm.go
@@ -83,11 +83,11 @@
 // notesAfter returns the notes after one that the neighbour has, as far as noteBudget allows.
 func (p *peers) notesAfter(after uint64) (out []*pawire.WarmNote, last uint64) {
 	now := p.gate.config.Clock.Now()
-	available := p.noteBudget.available(now)
+	available := p.noteBudget.Available(now)
 	p.gate.balancerMutex.Lock()
 	all, last := p.gate.balancer.WarmNotes(after, available, now)
 	p.gate.balancerMutex.Unlock()
-	p.noteBudget.spend(len(all))
+	p.noteBudget.Spend(len(all))
 	for _, n := range all {
 		out = append(out, &pawire.WarmNote{Target: n.Target, Object: n.Object, AgeMilliseconds: uint32(n.Age.Milliseconds())})
 	}
