--- a/pagate/retry.go
+++ b/pagate/retry.go
@@ -47,8 +47,8 @@
 	return ok
 }
 
-// updateShares counts the entry VMs that share with this one, and adds what the retry budgets earn by time; it is called once a tick. A process that shuts down earns nothing, as the
-// others may not count it any more.
+// updateShares counts the entry VMs that share with this one, and adds what the retry budgets earn by time; it is called once a tick.
+// A process that shuts down earns nothing, as the others may not count it any more.
 func (g *Gate) updateShares(v *pafleet.View, now time.Time) {
 	s, uptime := g.state.Load(), g.uptime()
 	g.census.Observe(maps.Keys(v.Entries), uint64(v.Entries[g.self.Name].Revision), uptime)
--- a/pagate/retry_test.go
+++ b/pagate/retry_test.go
@@ -1,6 +1,7 @@
 package pagate
 
 import (
+	"flag"
 	"fmt"
 	"slices"
 	"testing"
@@ -8,7 +9,15 @@
 	"time"
 )
 
+var (
+	retrySoakSeed  = flag.Uint64("retry.seed", 1, "the first seed of the soak of the retry budget")
+	retrySoakSeeds = flag.Int("retry.seeds", 2, "the number of seeds of that soak")
+)
+
 const (
+	// retrySoakTime is how long a soak disturbs the fleet, retrySoakStep the longest time between two events.
+	retrySoakTime = 30 * time.Second
+	retrySoakStep = time.Second
 	// retryLoadStep is the time between two moments at which requests arrive.
 	retryLoadStep = 20 * time.Millisecond
 	// retryLookUpAge is how long callers go on sending to an entry VM that stops.
@@ -81,15 +90,24 @@
 	}
 }
 
-// restart stops the entry VMs some at a time, and starts each again at its end.
+// stopEntry begins a graceful shutdown of an entry VM, which is started again at its end.
+func (l *retryLoad) stopEntry(e *modelEntry) {
+	if _, stops := l.stopping[e]; stops {
+		return
+	}
+	l.stopping[e] = time.Now()
+	e.stop()
+	done := e.done
+	l.spawn(func() {
+		<-done
+		l.network.Reset(e.address)
+	})
+}
+
+// restart stops the entry VMs some at a time.
 func (l *retryLoad) restart(together int, gap time.Duration) {
 	for i, e := range l.entries {
-		l.stopping[e] = time.Now()
-		e.stop()
-		l.spawn(func() {
-			<-e.done
-			l.network.Reset(e.address)
-		})
+		l.stopEntry(e)
 		if i%together == together-1 {
 			l.run(gap)
 		}
@@ -108,16 +126,55 @@
 	}
 }
 
-// killAll kills all processes and starts them again.
-func (l *retryLoad) killAll() {
-	for _, e := range l.entries {
+// kill kills processes and starts them again.
+func (l *retryLoad) kill(all []*modelEntry) {
+	for _, e := range all {
 		e.crash()
+		delete(l.stopping, e)
 	}
-	for _, e := range l.entries {
+	for _, e := range all {
 		e.start(false)
 	}
 }
 
+// disturb lets a random event happen to one, some or all entry VMs.
+func (l *retryLoad) disturb() {
+	some := l.random.Perm(len(l.entries))[:1+l.random.IntN(len(l.entries))]
+	var hit []*modelEntry
+	for _, i := range some {
+		hit = append(hit, l.entries[i])
+	}
+	switch l.random.IntN(6) {
+	case 0:
+		l.kill(hit)
+	case 1, 2:
+		for _, e := range hit {
+			l.stopEntry(e)
+		}
+	case 3:
+		l.eachFor(hit, (*modelEntry).cutStore)
+	case 4:
+		l.eachFor(hit, func(e *modelEntry, cut bool) { e.cutStore(cut); e.cutFromOthers(cut) })
+	case 5:
+		l.eachFor(l.entries, func(e *modelEntry, silent bool) { l.store.setFault(e.name, storeFault{silent: silent}) })
+	}
+}
+
+// eachFor begins a fault of entry VMs and ends it within ten seconds.
+func (l *retryLoad) eachFor(hit []*modelEntry, do func(e *modelEntry, begin bool)) {
+	for _, e := range hit {
+		do(e, true)
+	}
+	d := time.Duration(l.random.Int64N(int64(10 * time.Second)))
+	l.spawn(func() {
+		if l.alive(d) {
+			for _, e := range hit {
+				do(e, false)
+			}
+		}
+	})
+}
+
 // countBetween returns how many of the times are in [from, to).
 func countBetween(all []time.Time, from, to time.Time) int {
 	first, _ := slices.BinarySearchFunc(all, from, time.Time.Compare)
@@ -181,9 +238,29 @@
 func TestRetryBudgetHoldsWhileEntryVMsAreKilled(t *testing.T) {
 	checkRetries(t, func(l *retryLoad) {
 		for range 3 {
-			l.killAll()
+			l.kill(l.entries)
 			l.run(2500 * time.Millisecond)
 		}
 		l.run(10 * time.Second)
 	})
 }
+
+// Guards against a budget that is exceeded when stops, kills, cuts and outages of the store overlap at random.
+func TestRetryBudgetSoak(t *testing.T) {
+	for seed := *retrySoakSeed; seed < *retrySoakSeed+uint64(*retrySoakSeeds); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				l := newRetryLoad([]int{7, 12, 20}[seed%3], []float64{15, 60, 200}[seed/3%3], seed)
+				defer l.close()
+				l.run(12 * time.Second)
+				l.failing = true
+				for end := time.Now().Add(retrySoakTime); time.Now().Before(end); {
+					l.run(time.Duration(l.random.Int64N(int64(retrySoakStep))))
+					l.disturb()
+				}
+				l.check(t)
+			})
+		})
+	}
+}
