--- a/pasteer/cold.go
+++ b/pasteer/cold.go
@@ -121,8 +121,8 @@
 	}
 }
 
-// isForgotten reports whether the view lacks this entry VM's own registration although an earlier one had it: the store was away and its leases
-// lapsed. The others are missing for the same reason, and the shares stay as they were until the registrations are back.
+// isForgotten reports whether the view lacks this entry VM's own registration although an earlier one had it: the store was away and
+// its leases lapsed. The others are missing for the same reason, and the shares stay as they were until the registrations are back.
 func (b *Balancer) isForgotten(v *pafleet.View) bool {
 	_, registered := v.Entries[b.Config.Name]
 	b.wasRegistered = b.wasRegistered || registered
