--- a/review/stand/secondcopy.go
+++ b/review/stand/secondcopy.go
@@ -15,9 +15,9 @@
 
 	// In each episode all servers reject a part of the requests, as srv_grey (shed all) with at most x = 0.55 for 8.5 s in the site
 	// file, and seven of twelve send second copies late, as garble (extra late) with at most share = 0.6, x = 0.03 for 5 s.
-	episodeGap = 10 * time.Second
+	episodeGap = 9 * time.Second
 	greyTime   = 8500 * time.Millisecond
-	greyShare  = 0.15
+	greyShare  = 0.2
 	garbleTime = 5000 * time.Millisecond
 	copyShare  = 0.03
 	copyDelay  = 30 * time.Millisecond
