paproof, pagate: a promise that a request has not run is written only with a proof, and none is sent on without one

Cause: a status of a target was passed on as it is, though 408, 421, 429 and 503 are a promise to callers, and any 421 counted as a rejection. Only X-Not-Executed, or a 421 that names another target, states that a request did not run. What was known of earlier sends was a flag that each path had to ask by itself.

Change: paproof.Sends begins and ends each send of a request and hands out the proof that it has not run; no send begins after the proof, nor, for a request that must run once, after a send without one. A response with a status that promises is written only with that proof (answer.go, writeOwn), else it is 502; a target's own status that promises without a proof is replaced by 502 without the target's stamp and Retry-After (promise.go) at both ends of a relay. Requests that may run again get what the target said, unchanged.

Why it works: the proof can only come from Sends.Close, whose sends end proved or not; whoever forgets to ask gets 502.

--- a/pagate/answer.go
+++ b/pagate/answer.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"papayahead/paevent"
+	"papayahead/paproof"
 	"papayahead/pasteer"
 )
 
@@ -35,6 +36,7 @@
 	reasonSuspected      = "Suspected"
 	reasonBuffersFull    = "BuffersFull"
 	reasonNoRoom         = "NoRoomForConnection"
+	reasonUnproven       = "UnprovenRefusal"
 
 	reasonUnknownWorkspace = "WorkspaceUnknown"
 )
@@ -65,8 +67,6 @@
 	switch {
 	case x.failedReply != nil:
 		g.writeReply(w, x, attemptResult{reply: x.failedReply, outcome: pasteer.Failed})
-	case x.mayHaveExecuted:
-		g.writeError(w, x, http.StatusBadGateway, string(c.Reason))
 	default:
 		g.refuse(w, x, string(c.Reason), c.RetryAfter)
 	}
@@ -78,12 +78,12 @@
 	switch {
 	case x.failedReply != nil:
 		g.writeReply(w, x, attemptResult{reply: x.failedReply, outcome: pasteer.Failed})
-	case !x.mayHaveExecuted && g.requestsCtx.Err() != nil:
+	case !x.sends.MayHaveRun() && g.requestsCtx.Err() != nil:
 		// Another entry VM that handed the request over may still send it.
 		g.refuse(w, x, reasonShuttingDown, retryAfterShutdown)
-	case !x.mayHaveExecuted && room:
+	case !x.sends.MayHaveRun() && room:
 		g.refuse(w, x, reasonAttemptsSpent, retryAfterShedWithRoom)
-	case !x.mayHaveExecuted:
+	case !x.sends.MayHaveRun():
 		g.refuse(w, x, reasonAttemptsSpent, retryAfterTargetsFull)
 	case r.outcome == pasteer.Abandoned && g.requestsCtx.Err() != nil:
 		g.writeError(w, x, http.StatusGatewayTimeout, reasonShuttingDown)
@@ -97,6 +97,10 @@
 // writeReply passes the target's reply on to the client.
 func (g *Gate) writeReply(w http.ResponseWriter, x *exchange, r attemptResult) {
 	p := r.reply
+	if !x.sends.PassesOn(p.status) {
+		g.replaceReply(w, x, p)
+		return
+	}
 	g.beginResponse(w, x, len(p.body))
 	h := w.Header()
 	for name, values := range p.header {
@@ -156,14 +160,19 @@
 	}
 }
 
-// refuse responds 503 with a Retry-After to a request that was not executed. retryAfter is extended by
-// the jitter unless it is reserved.
+// refuse responds 503 with a Retry-After to a request that has not run, and 502 if that is not proved. retryAfter is extended by the
+// jitter unless it is reserved.
 func (g *Gate) refuse(w http.ResponseWriter, x *exchange, reason string, retryAfter time.Duration) {
 	g.refuseWithStatus(w, x, http.StatusServiceUnavailable, reason, retryAfter)
 }
 
 // refuseWithStatus is refuse with another status code. It returns the request's rate limit token.
 func (g *Gate) refuseWithStatus(w http.ResponseWriter, x *exchange, status int, reason string, retryAfter time.Duration) {
+	proof := x.sends.Close()
+	if !proof.Proved() {
+		g.writeError(w, x, http.StatusBadGateway, reason)
+		return
+	}
 	g.quotas.returnToken(x)
 	g.markRelayed(w, x, relayReply{
 		Outcome: relayNotRun, Reason: reason, RetryMicroseconds: retryAfter.Microseconds(), Elsewhere: g.saidElsewhere(x, reason),
@@ -174,17 +183,21 @@
 	}
 	seconds := retryAfter.Seconds() * factor
 	w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', 3, 64))
-	g.writeOwn(w, x, status, reason)
+	g.writeOwn(w, x, status, reason, proof)
 }
 
 // writeError writes a response of the gate's own to a request that may have run, or must not be sent again.
 func (g *Gate) writeError(w http.ResponseWriter, x *exchange, status int, reason string) {
 	g.markRelayed(w, x, relayReply{Outcome: relayUnknown, Reason: reason})
-	g.writeOwn(w, x, status, reason)
+	g.writeOwn(w, x, status, reason, paproof.NotRun{})
 }
 
-// writeOwn writes a response of the gate's own, with the reason as its body.
-func (g *Gate) writeOwn(w http.ResponseWriter, x *exchange, status int, reason string) {
+// writeOwn writes a response of the gate's own, with the reason as its body. A status that promises that the request has not run needs
+// the proof, or it is replaced.
+func (g *Gate) writeOwn(w http.ResponseWriter, x *exchange, status int, reason string, proof paproof.NotRun) {
+	if paproof.IsPromise(status) && !proof.Proved() {
+		status = http.StatusBadGateway
+	}
 	g.beginResponse(w, x, 0)
 	if x.id != "" {
 		w.Header().Set(g.config.Headers.RequestID, x.id)
--- a/pagate/buffer.go
+++ b/pagate/buffer.go
@@ -45,11 +45,14 @@
 
 // refuseBody responds to a request whose body was not read to its end.
 func (g *Gate) refuseBody(w http.ResponseWriter, x *exchange, status int, reason string) {
-	if status == http.StatusServiceUnavailable {
+	switch status {
+	case http.StatusServiceUnavailable:
 		g.refuse(w, x, reason, retryAfterBuffersFull)
-		return
+	case http.StatusRequestTimeout:
+		g.writeOwn(w, x, status, reason, x.sends.Close())
+	default:
+		g.writeError(w, x, status, reason)
 	}
-	g.writeError(w, x, status, reason)
 }
 
 // boundUnread closes the client's connection if the response is not read some time after the request's deadline, until the returned
--- a/pagate/forward.go
+++ b/pagate/forward.go
@@ -57,7 +57,6 @@
 	if r.reply != nil {
 		x.failedReply = r.reply
 	}
-	x.mayHaveExecuted = x.mayHaveExecuted || !r.notExecuted
 	if r.isUnsent() {
 		if a.unsent++; a.unsent < maxUnsent {
 			if r.outcome == pasteer.Refused {
@@ -172,14 +171,14 @@
 	if r.reply != nil && r.outcome == pasteer.Answered {
 		return false
 	}
-	if x.relayed != nil && !r.notExecuted {
+	if x.relayed != nil && !r.proof.Proved() {
 		// The entry VM that received the request decides: if this one were lost, that one could not count two attempts.
 		return false
 	}
-	if x.unbuffered != nil || r.outcome == pasteer.Abandoned || !x.route.Idempotent && !r.notExecuted {
+	if x.unbuffered != nil || r.outcome == pasteer.Abandoned || !x.route.Idempotent && !r.proof.Proved() {
 		return false
 	}
-	if len(x.tried)+1 >= x.route.MaxAttempts || !r.notExecuted && !g.mayRepeat(x) {
+	if len(x.tried)+1 >= x.route.MaxAttempts || !r.proof.Proved() && !g.mayRepeat(x) {
 		return false
 	}
 	now := g.config.Clock.Now()
--- a/pagate/front.go
+++ b/pagate/front.go
@@ -13,6 +13,7 @@
 	"papayahead/pabuffer"
 	"papayahead/paheader"
 	"papayahead/palane"
+	"papayahead/paproof"
 	"papayahead/paquarantine"
 	"papayahead/paroute"
 	"papayahead/pasteer"
@@ -49,9 +50,10 @@
 	// arrived is when the header was read, deadline when the response is due.
 	arrived  time.Time
 	deadline time.Time
-	// tried are the targets that the request was sent to; mayHaveExecuted says that one of them may have executed
-	// it. failedReply is the last reply that reported a failure.
+	// tried are the targets that the request was sent to; sends has what is proved of the sends. failedReply is the last reply that
+	// reported a failure.
 	tried []string
+	sends paproof.Sends
 	// sheds is how often a target turned it away.
 	sheds int
 	// unreached are the targets to which no connection could be opened. relays are the entry VMs that were to relay it, and
@@ -60,10 +62,9 @@
 	// avoid are the targets that want no requests from the entry VM that received it, if that is not this one.
 	avoid []string
 	// direct says that no relay may take it. relayed is the call of the entry VM that received it; nil if that is this one.
-	direct          bool
-	relayed         *relayCall
-	mayHaveExecuted bool
-	failedReply     *reply
+	direct      bool
+	relayed     *relayCall
+	failedReply *reply
 	// lastChoice is the last choice of a target, for the log.
 	lastChoice pasteer.Choice
 	// roomWait is how long the request waited for a free slot, overtaken how many later ones were sent before it meanwhile.
@@ -109,6 +110,7 @@
 		g.writeError(w, x, http.StatusNotFound, reasonNoRoute)
 		return
 	}
+	x.sends.Repeatable = x.route.Idempotent
 	if status, reason := g.authenticate(x, s); status != 0 {
 		g.refuseAuthentication(w, x, status, reason)
 		return
--- a/pagate/meter.go
+++ b/pagate/meter.go
@@ -11,6 +11,7 @@
 	"papayahead/paconn"
 	"papayahead/paevent"
 	"papayahead/pafleet"
+	"papayahead/paproof"
 	"papayahead/pasteer"
 )
 
@@ -97,7 +98,7 @@
 	for _, k := range strayKinds {
 		m.strayAnswers(k).Set(0)
 	}
-	for _, s := range promises {
+	for _, s := range paproof.Promises() {
 		m.unprovenRefusals(s).Set(0)
 	}
 	for _, o := range []relayOutcome{relayAnswered, relayNotRun, relayUnknown} {
--- a/pagate/promise.go
+++ b/pagate/promise.go
@@ -2,20 +2,11 @@
 
 import (
 	"net/http"
-	"slices"
 
 	"papayahead/paevent"
 	"papayahead/pasteer"
 )
 
-// promises are the statuses that tell a client that its request has not run and never will.
-var promises = []int{
-	http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable,
-}
-
-// promisesNotRun reports whether a status tells a client that its request has not run and never will.
-func promisesNotRun(status int) bool { return slices.Contains(promises, status) }
-
 // noteUnproven counts and logs a response of a target whose status promises that the request did not run, though nothing else in it
 // says so: the target may have run it.
 func (g *Gate) noteUnproven(c pasteer.Choice, x *exchange, status int) {
@@ -28,3 +19,12 @@
 		Idempotent: x.route.Idempotent,
 	})
 }
+
+// replaceReply responds 502 in place of a target's response whose status promises what is not proved. The target's stamp and its
+// Retry-After belong to its status and go with it.
+func (g *Gate) replaceReply(w http.ResponseWriter, x *exchange, p *reply) {
+	if p.done != nil {
+		p.done(false)
+	}
+	g.writeError(w, x, http.StatusBadGateway, reasonUnproven)
+}
--- a/pagate/relay.go
+++ b/pagate/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"papayahead/paproof"
 	"papayahead/pasteer"
 )
 
@@ -51,13 +52,12 @@
 		g.recordEnd(x, 0, reasonClientGone)
 		panic(http.ErrAbortHandler)
 	}
-	x.mayHaveExecuted = x.mayHaveExecuted || !r.notExecuted
 	switch {
 	case r.outcome == pasteer.Abandoned:
 		g.answerLastFailure(w, x, r, false)
 	case r.mayMoveOn(x):
 		return false
-	case r.relayed != nil && r.notExecuted:
+	case r.relayed != nil && r.proof.Proved():
 		g.answerNoTarget(w, x, r.relayed.refusal())
 	case g.takeRetry(x, r):
 		if r.reply != nil {
@@ -77,9 +77,9 @@
 // its body is held in memory.
 func (r *attemptResult) mayMoveOn(x *exchange) bool {
 	if r.relayed == nil {
-		return r.notExecuted
+		return r.proof.Proved()
 	}
-	return r.notExecuted && (r.relayed.Elsewhere || x.lastChoice.Sender != 0 && r.relayed.isOwnRefusal()) && x.unbuffered == nil
+	return r.proof.Proved() && (r.relayed.Elsewhere || x.lastChoice.Sender != 0 && r.relayed.isOwnRefusal()) && x.unbuffered == nil
 }
 
 // pickRelay chooses the relay of the next attempt.
@@ -162,7 +162,7 @@
 		return a.fail(ctx, trace.Wrap(err, "response of a relay"))
 	}
 	response.Header.Del(relayHeader)
-	r := attemptResult{relayed: &said, notExecuted: said.Outcome == relayNotRun, outcome: pasteer.Answered, report: a.report()}
+	r := attemptResult{relayed: &said, proof: paproof.ByRelay(said.Outcome == relayNotRun), outcome: pasteer.Answered, report: a.report()}
 	if said.Outcome != relayAnswered || response.StatusCode >= http.StatusInternalServerError {
 		r.outcome = pasteer.Failed
 	}
--- a/pagate/relayed.go
+++ b/pagate/relayed.go
@@ -82,6 +82,7 @@
 	if x.route = s.table.Match(r.Host, requestPath(r.RequestURI)); x.route == nil {
 		return reasonNoRoute
 	}
+	x.sends.Repeatable = x.route.Idempotent
 	if name := x.relayed.Workspace; name != "" {
 		if x.workspace = s.table.Workspace(name); x.workspace == nil {
 			return reasonUnknownWorkspace
--- a/pagate/response.go
+++ b/pagate/response.go
@@ -13,6 +13,7 @@
 
 	"papayahead/pabuffer"
 	"papayahead/paheader"
+	"papayahead/paproof"
 	"papayahead/pasteer"
 )
 
@@ -129,22 +130,26 @@
 	if r.report.LimitUnreadable {
 		a.gate.noteUnreadableLimit(a.choice.Target, strings.Join(limits, ","))
 	}
-	if response.StatusCode != http.StatusMisdirectedRequest {
+	said := paproof.Response{
+		Status: response.StatusCode, NotExecuted: response.Header.Get(names.NotExecuted) != "",
+		Target: a.choice.Target, Responder: response.Header.Get(names.Instance),
+	}
+	if !said.Misdirected() {
 		a.gate.observeDraining(a.choice.Target, a.choice.Born, response.Header)
 	}
 	if response.StatusCode == http.StatusServiceUnavailable {
 		r.report.PushedBack = a.gate.observePushback(a.choice, response.Header.Values(names.RetryAfter))
 	}
 	switch {
-	case response.StatusCode == http.StatusMisdirectedRequest:
-		r.outcome, r.notExecuted = pasteer.Moved, true
-	case response.Header.Get(names.NotExecuted) != "":
-		r.outcome, r.notExecuted = pasteer.Shed, true
+	case said.Misdirected():
+		r.outcome = pasteer.Moved
+	case said.NotExecuted:
+		r.outcome = pasteer.Shed
 	case response.StatusCode >= http.StatusInternalServerError:
 		r.outcome = pasteer.Failed
 	}
-	if promisesNotRun(response.StatusCode) && !r.notExecuted {
-		a.gate.noteUnproven(a.choice, a.x, response.StatusCode)
+	if r.proof = said.Rejection(); paproof.IsPromise(said.Status) && !r.proof.Proved() {
+		a.gate.noteUnproven(a.choice, a.x, said.Status)
 	}
 	r.report.Outcome = r.outcome
 	return r
--- a/pagate/send.go
+++ b/pagate/send.go
@@ -14,6 +14,7 @@
 	"github.com/gravitational/trace"
 
 	"papayahead/paconn"
+	"papayahead/paproof"
 	"papayahead/pasteer"
 )
 
@@ -72,8 +73,8 @@
 	// pool is where the connection returns; connected says that it was opened for this attempt.
 	pool      *paconn.Pool
 	connected bool
-	// mayHaveSent says that bytes of the request may have been sent.
-	mayHaveSent bool
+	// begun says that bytes of the request may have been sent.
+	begun bool
 	// sending is the sending of the request.
 	sending   *bodySending
 	startedAt time.Time
@@ -85,8 +86,8 @@
 type attemptResult struct {
 	reply   *reply
 	outcome pasteer.Outcome
-	// notExecuted says that the target certainly did not execute the request.
-	notExecuted bool
+	// proof is what proves that the target did not run the request and will not.
+	proof paproof.Rejection
 	// failure is how the attempt failed, if it got no complete response.
 	failure failure
 	report  pasteer.Report
@@ -133,6 +134,9 @@
 	}
 	stop := context.AfterFunc(ctx, func() { a.conn.Close() })
 	r := a.roundTrip(ctx)
+	if a.begun {
+		a.x.sends.End(r.proof)
+	}
 	if r.reply == nil || r.reply.done == nil {
 		stop()
 		return r
@@ -153,9 +157,12 @@
 	if err := a.conn.SetDeadline(deadline); err != nil {
 		return a.fail(ctx, trace.Wrap(err))
 	}
+	if a.begun = a.x.sends.Begin(); !a.begun {
+		a.conn.Close()
+		return a.withheld()
+	}
 	a.sending = &bodySending{done: make(chan struct{})}
 	request := a.newRequest()
-	a.mayHaveSent = true
 	if a.x.inline() {
 		a.writeRequest(request)
 		if err := a.sending.err; err != nil {
@@ -213,14 +220,17 @@
 
 // withheld returns the outcome of an attempt that was given up before anything was sent.
 func (a *attempt) withheld() attemptResult {
-	r := attemptResult{outcome: pasteer.Withheld, notExecuted: true, report: a.report()}
+	r := attemptResult{outcome: pasteer.Withheld, proof: paproof.Unsent(), report: a.report()}
 	r.report.Outcome = r.outcome
 	return r
 }
 
 // fail closes the connection of an attempt that got no complete response, and returns its outcome.
 func (a *attempt) fail(ctx context.Context, err error) attemptResult {
-	r := attemptResult{outcome: pasteer.Lost, report: a.report(), notExecuted: !a.mayHaveSent}
+	r := attemptResult{outcome: pasteer.Lost, report: a.report()}
+	if !a.begun {
+		r.proof = paproof.Unsent()
+	}
 	if a.conn != nil {
 		r.failure = connFailure(ctx, err)
 		a.conn.Close()
--- a/pagate/waiting.go
+++ b/pagate/waiting.go
@@ -37,7 +37,7 @@
 	if c.Target == "" {
 		g.meter.countRoomRefusal(x.priority(), string(c.Reason))
 		if x.clientCtx.Err() != nil {
-			if !x.mayHaveExecuted {
+			if !x.sends.MayHaveRun() {
 				g.quotas.returnToken(x)
 			}
 			g.recordEnd(x, 0, reasonClientGone)
--- a/pagate/waiting_test.go
+++ b/pagate/waiting_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"papayahead/paproof"
 	"papayahead/pasteer"
 )
 
@@ -52,7 +53,7 @@
 			g.cancelRequests()
 		}
 		w := httptest.NewRecorder()
-		g.answerLastFailure(w, returnExchange(g, 3*time.Second), attemptResult{outcome: pasteer.Abandoned, notExecuted: true}, false)
+		g.answerLastFailure(w, returnExchange(g, 3*time.Second), attemptResult{outcome: pasteer.Abandoned, proof: paproof.Unsent()}, false)
 		reason := strings.TrimSpace(w.Body.String())
 		if w.Code != 503 || (&relayReply{Reason: reason}).isOwnRefusal() != ending {
 			t.Errorf("ending %v: %d, %s", ending, w.Code, reason)
