pagate: the response to a HEAD keeps its length

What callers saw: HEAD answered with Content-Length 0, whatever its target said: a whole answer with an empty body.

Cause: what is held of a body was written as its length, and the response to a HEAD has none.

Change: HEAD keeps the target's length; 304 has none (net/http leaves it out).

--- a/paconn/head.go
+++ b/paconn/head.go
@@ -70,4 +70,6 @@
 }
 
 // isTwoLines reports whether a line that is no status line contains one. Few contain the text that is looked for first.
-func isTwoLines(line string) bool { return strings.Contains(line, "HTTP/1.") && statusLine.MatchString(line) }
+func isTwoLines(line string) bool {
+	return strings.Contains(line, "HTTP/1.") && statusLine.MatchString(line)
+}
--- a/pagate/answer.go
+++ b/pagate/answer.go
@@ -106,9 +106,12 @@
 	for name, values := range p.header {
 		h[name] = values
 	}
-	if p.rest == nil {
+	switch {
+	case x.method == http.MethodHead || p.status == http.StatusNotModified:
+		// The length, if there is one, is that of another response's body.
+	case p.rest == nil:
 		h.Set("Content-Length", strconv.Itoa(len(p.body)))
-	} else if p.length >= 0 {
+	case p.length >= 0:
 		h.Set("Content-Length", strconv.FormatInt(p.length, 10))
 	}
 	g.markRelayed(w, x, relayReply{Outcome: relayAnswered})
