--- a/paconn/head.go
+++ b/paconn/head.go
@@ -4,9 +4,8 @@
 	"errors"
 	"io"
 	"net/http"
-	"regexp"
-	"slices"
-	"strings"
+
+	"papayahead/paheader"
 )
 
 // maxHead is how many bytes the head of a response may have.
@@ -44,32 +43,8 @@
 	c.head.reading, c.head.left = true, maxHead
 	defer func() { c.head.reading = false }()
 	response, err := http.ReadResponse(c.reader, r)
-	if err == nil && hasTwoHeads(response) {
+	if err == nil && paheader.HasTwoHeads(response) {
 		return nil, ErrTwoHeads
 	}
 	return response, err
 }
-
-// statusLine is the beginning of a status line.
-var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]`)
-
-// hasTwoHeads reports whether a line of the head ends in a status line.
-//
-// A target that breaks a response off in a line of its head, and sends another one on the connection, has sent one head by its form: the
-// status of the first response, or a part of a header value, with all that follows of the second one.
-func hasTwoHeads(r *http.Response) bool {
-	if isTwoLines(r.Status) {
-		return true
-	}
-	for _, values := range r.Header {
-		if slices.ContainsFunc(values, isTwoLines) {
-			return true
-		}
-	}
-	return false
-}
-
-// isTwoLines reports whether a line that is no status line contains one. Few contain the text that is looked for first.
-func isTwoLines(line string) bool {
-	return strings.Contains(line, "HTTP/1.") && statusLine.MatchString(line)
-}
--- a/paproxy/failure_test.go
+++ b/paproxy/failure_test.go
@@ -105,6 +105,28 @@
 	g.Expect(b.results.last().Reason).To(Equal(ReasonWrongIdentity))
 }
 
+// Guards against the status of a response that its target broke off with the body of the next one: together they have one head.
+func TestResponseAfterOneThatIsCutInItsHeadIsNone(t *testing.T) {
+	for _, cut := range []string{"HTTP/1.1 500 Internal", "HTTP/1.1 200 OK\r\nServer: a", "HTTP/1.1 404 X\r\nServer:"} {
+		g := NewWithT(t)
+		b := newBench(t)
+		target := &rawTarget{respond: func(w io.Writer, r *http.Request, _, _ int) bool {
+			if _, err := io.WriteString(w, cut); err != nil {
+				return false
+			}
+			writeResponse(w, r.Header.Get(RequestIDHeader), "ok")
+			return true
+		}}
+		target.start(t)
+		b.proxy.Placer = placeFunc(func(context.Context, Request) Placement {
+			return Local{Address: target.address, Done: b.results.add}
+		})
+		r := b.ask("POST", "/Services/s/", "mine", "x")
+		g.Expect(r.status).To(Equal(http.StatusBadGateway), cut)
+		g.Expect(r.outcome()).To(Equal("Unknown"), cut)
+	}
+}
+
 // Guards against delivering a response to the wrong caller: a caller disconnects in the middle of a
 // long response, and the next request on the same connection to the target reads the rest of it.
 func TestCancelledConnectionIsNotReused(t *testing.T) {
--- a/paproxy/send.go
+++ b/paproxy/send.go
@@ -16,6 +16,7 @@
 	"github.com/gravitational/trace"
 
 	"papayahead/paevent"
+	"papayahead/paheader"
 )
 
 // errSilent is the cause of a send that was cancelled because its connection was silent.
@@ -314,6 +315,8 @@
 		record(s.targets.Events, paevent.IdentityMismatch{
 			Subject: eventSubject(x.request), Target: s.conn.address.String(), Said: gotID,
 		})
+	case paheader.HasTwoHeads(httpResp):
+		r.Reason = ReasonTruncated
 	case httpResp.StatusCode == http.StatusSwitchingProtocols:
 		r.Reason = ReasonUnframedAnswer
 	case closeDelimited(x.request.Method, httpResp):
