paheader, paquarantine: what headers say, and checks of ended targets, move out of pagate

The parsers of the load, the limit, Retry-After and Keep-Alive go to paheader with their tests, which are unchanged but for names; the checks of ended targets, a state without I/O, go to paquarantine. pagate has two files fewer and depends on them as before.

--- a/pagate/cut_test.go
+++ b/pagate/cut_test.go
@@ -68,7 +68,7 @@
 	go server.Serve(l) //nolint:errcheck // It ends with the listener.
 	defer server.Close()
 	defer client.Close()
-	go fmt.Fprintf(client, "%s / HTTP/1.1\r\nHost: h\r\n\r\n", method)
+	go q.Write(client) //nolint:errcheck // The response tells.
 	got, err := http.ReadResponse(bufio.NewReader(client), q)
 	if err != nil {
 		return cutAnswer{}, false
--- a/pagate/ended.go
+++ b/pagate/ended.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/netip"
-	"sync"
 	"time"
 
 	"papayahead/paevent"
@@ -11,67 +10,8 @@
 	"papayahead/pasteer"
 )
 
-const (
-	// endCheckTimeout bounds the connection that tells whether a target has ended: a few round trips of 70 ms.
-	endCheckTimeout = 400 * time.Millisecond
-	// endMemory is how long after a target has ended further requests that it had are added.
-	endMemory = 5 * time.Second
-)
-
-// endChecks are the targets that may have ended, or have, and the requests that they had.
-type endChecks struct {
-	mutex  sync.Mutex
-	checks map[paquarantine.Lifetime]*endCheck
-}
-
-// endCheck is a target to which a connection ended while a request waited for its response.
-type endCheck struct {
-	begun   time.Time
-	ended   bool
-	waiting []paquarantine.Loss
-}
-
-// add adds a loss. It returns start if the target is to be checked for it, and ended if the target is known to have ended;
-// otherwise the loss waits for the check.
-func (e *endChecks) add(l paquarantine.Loss) (start, ended bool) {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	if e.checks == nil {
-		e.checks = map[paquarantine.Lifetime]*endCheck{}
-	}
-	for t, c := range e.checks {
-		if l.Ended.Sub(c.begun) > endMemory {
-			delete(e.checks, t)
-		}
-	}
-	c := e.checks[l.Target]
-	if c != nil && c.ended {
-		return false, true
-	}
-	if c == nil {
-		c = &endCheck{begun: l.Ended}
-		e.checks[l.Target] = c
-		start = true
-	}
-	c.waiting = append(c.waiting, l)
-	return start, false
-}
-
-// finish records the result of a check and returns the losses that waited for it.
-func (e *endChecks) finish(t paquarantine.Lifetime, ended bool) []paquarantine.Loss {
-	e.mutex.Lock()
-	defer e.mutex.Unlock()
-	c := e.checks[t]
-	if c == nil {
-		return nil
-	}
-	waiting := c.waiting
-	c.ended, c.waiting = ended, nil
-	if !ended {
-		delete(e.checks, t)
-	}
-	return waiting
-}
+// endCheckTimeout bounds the connection that tells whether a target has ended: a few round trips of 70 ms.
+const endCheckTimeout = 400 * time.Millisecond
 
 // noteOutcome records what an attempt tells of whether its target has ended. Of a response that is passed on while it is read
 // that is known at its end.
@@ -99,7 +39,7 @@
 		Request: x.contentFingerprint(), Resource: x.content().Resource(), Target: paquarantine.Lifetime{Target: c.Target, Born: c.Born},
 		Sent: sent, Ended: g.config.Clock.Now(),
 	}
-	start, ended := g.endChecks.add(l)
+	start, ended := g.endChecks.Add(l)
 	if start {
 		go g.checkEnd(g.requestsCtx, x.service, l.Target, c.Address)
 	}
@@ -116,7 +56,7 @@
 		g.conns.Put(conn)
 	}
 	ended := err != nil && dialFailure(ctx, err) == failureDialRefused
-	losses := g.endChecks.finish(t, ended)
+	losses := g.endChecks.Finish(t, ended)
 	if !ended {
 		return
 	}
--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -51,7 +51,7 @@
 	meter        *meter
 	logged       logState
 	// endChecks are the targets that may have ended, quarantine what is known of the requests that they had.
-	endChecks  endChecks
+	endChecks  paquarantine.EndChecks
 	quarantine paquarantine.Quarantine
 	// unreadableLimits are the targets that named a limit which is no rate, as logged.
 	unreadableLimits sync.Map
--- a/pagate/loadnote.go
+++ b/pagate/loadnote.go
@@ -18,6 +18,8 @@
 	maxLoadBurst    = 500
 	// loadAgeUnit is the unit of ages in messages.
 	loadAgeUnit = 10 * time.Millisecond
+	// percent is the unit of slowness in messages.
+	percent = 100.0
 )
 
 // wantLoads asks a neighbour of the own region for notes on loads if a service is contended. In a region that is small enough every
--- a/pagate/pushback.go
+++ b/pagate/pushback.go
@@ -1,20 +1,17 @@
 package pagate
 
 import (
-	"errors"
-	"math"
-	"strconv"
 	"strings"
-	"time"
 
 	"papayahead/paevent"
+	"papayahead/paheader"
 	"papayahead/pasteer"
 )
 
 // observePushback takes the Retry-After values of a 503 response as soon as its header is read, and reports whether the target asks
 // for no requests. The body may take long to arrive.
 func (g *Gate) observePushback(c pasteer.Choice, values []string) bool {
-	wait, unreadable := parsePushback(values)
+	wait, unreadable := paheader.ParseRetryAfter(values, pasteer.MaxPushback)
 	if unreadable {
 		g.noteUnreadablePushback(c.Target, strings.Join(values, ","))
 	}
@@ -75,29 +72,3 @@
 		g.record(paevent.TargetPushbackUnreadable{Target: target, Value: value[:min(len(value), maxLoggedLimit)]})
 	}
 }
-
-// parsePushback parses the values of a Retry-After header. Of several the longest counts, so that each is kept to. A date is
-// unreadable: it would depend on the target's clock.
-func parsePushback(values []string) (longest time.Duration, unreadable bool) {
-	for _, v := range values {
-		wait, ok := parseSeconds(strings.TrimSpace(v))
-		longest, unreadable = max(longest, wait), unreadable || !ok
-	}
-	return longest, unreadable
-}
-
-// parseSeconds parses a decimal number of seconds of at least 0, which may have a fraction and an exponent. One beyond all bounds is
-// pasteer.MaxPushback.
-func parseSeconds(v string) (time.Duration, bool) {
-	if strings.Trim(v, "0123456789.eE+-") != "" {
-		return 0, false // ParseFloat also reads names and hexadecimal numbers.
-	}
-	n, err := strconv.ParseFloat(v, 64)
-	if errors.Is(err, strconv.ErrRange) && n > 0 {
-		err = nil
-	}
-	if err != nil || n < 0 || math.IsNaN(n) {
-		return 0, false
-	}
-	return time.Duration(min(n, pasteer.MaxPushback.Seconds()) * float64(time.Second)), true
-}
--- a/pagate/relay.go
+++ b/pagate/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/gravitational/trace"
 
+	"papayahead/paheader"
 	"papayahead/paproof"
 	"papayahead/pasteer"
 )
@@ -170,8 +171,8 @@
 		r.outcome = pasteer.Abandoned
 	}
 	if said.Outcome == relayAnswered {
-		load := parseLoad(response.Header.Get(a.gate.config.Headers.Load))
-		r.report.LoadKnown, r.report.Running, r.report.Waiting = load.known, load.running, load.waiting
+		load := paheader.ParseLoad(response.Header.Get(a.gate.config.Headers.Load))
+		r.report.LoadKnown, r.report.Running, r.report.Waiting = load.Known, load.Running, load.Waiting
 		a.gate.observeDraining(said.Target, said.Born, response.Header)
 		return a.readBody(ctx, response, r)
 	}
--- a/pagate/response.go
+++ b/pagate/response.go
@@ -127,13 +127,13 @@
 func (a *attempt) classify(response *http.Response) attemptResult {
 	names := a.gate.config.Headers
 	r := attemptResult{outcome: pasteer.Answered, report: a.report()}
-	load := parseLoad(response.Header.Get(names.Load))
-	r.report.LoadKnown, r.report.Running, r.report.Waiting, r.report.Slowness = load.known, load.running, load.waiting, load.slowness
+	load := paheader.ParseLoad(response.Header.Get(names.Load))
+	r.report.LoadKnown, r.report.Running, r.report.Waiting, r.report.Slowness = load.Known, load.Running, load.Waiting, load.Slowness
 	if n, err := strconv.ParseFloat(response.Header.Get(names.WarmUp), 64); err == nil {
 		r.report.ColdFor = time.Duration(n * float64(time.Millisecond))
 	}
 	limits := response.Header.Values(names.Limit)
-	r.report.Limited, r.report.Limit, r.report.LimitUnreadable = parseLimit(limits)
+	r.report.Limited, r.report.Limit, r.report.LimitUnreadable = paheader.ParseLimit(limits, pasteer.ValidLimit)
 	if r.report.LimitUnreadable {
 		a.gate.noteUnreadableLimit(a.choice.Target, strings.Join(limits, ","))
 	}
@@ -169,18 +169,6 @@
 	}
 }
 
-// parseLimit parses the values of a Limit header. Of none, nothing is limited; anything but one rate is unreadable.
-func parseLimit(values []string) (limited bool, perSecond float64, unreadable bool) {
-	if len(values) == 0 {
-		return false, 0, false
-	}
-	n, err := strconv.ParseFloat(strings.TrimSpace(values[0]), 64)
-	if len(values) > 1 || err != nil || !pasteer.ValidLimit(n) {
-		return false, 0, true
-	}
-	return true, n, false
-}
-
 // releaseConn returns the connection to the pool if request and response are complete, or closes it.
 //
 // A target may respond before it has read the whole request. What it reads on later must not be the next request, so
@@ -194,7 +182,7 @@
 		a.conn.Close()
 		return
 	}
-	if timeout, ok := parseKeepAlive(response.Header.Get("Keep-Alive")); ok {
+	if timeout, ok := paheader.ParseKeepAlive(response.Header.Get("Keep-Alive")); ok {
 		a.conn.LimitIdle(timeout)
 	}
 	a.pool.Put(a.conn)
@@ -236,16 +224,3 @@
 	}
 	return ""
 }
-
-// parseKeepAlive returns the timeout of a Keep-Alive header.
-func parseKeepAlive(v string) (time.Duration, bool) {
-	for _, p := range strings.Split(v, ",") {
-		name, value, ok := strings.Cut(strings.TrimSpace(p), "=")
-		if !ok || !strings.EqualFold(strings.TrimSpace(name), "timeout") {
-			continue
-		}
-		n, err := strconv.Atoi(strings.TrimSpace(value))
-		return time.Duration(n) * time.Second, err == nil
-	}
-	return 0, false
-}
--- a/pagate/loadheader.go
+++ b/paheader/load.go
@@ -1,16 +1,16 @@
-package pagate
+package paheader
 
 import (
 	"strconv"
 	"strings"
 )
 
-// reportedLoad is what a target's load header says. known is false if its first two figures are malformed.
-type reportedLoad struct {
-	known            bool
-	running, waiting int
-	// slowness is the factor by which work takes longer than usual; 0 if the header does not say so.
-	slowness float64
+// Load is what a target's load header says. Known is false if its first two figures are malformed.
+type Load struct {
+	Known            bool
+	Running, Waiting int
+	// Slowness is the factor by which work takes longer than usual; 0 if the header does not say so.
+	Slowness float64
 }
 
 const (
@@ -21,23 +21,23 @@
 	percent     = 100.0
 )
 
-// parseLoad parses "running,waiting,slots" with an optional fourth figure, the percentage of the usual time that work takes.
-func parseLoad(v string) reportedLoad {
+// ParseLoad parses "running,waiting,slots" with an optional fourth figure, the percentage of the usual time that work takes.
+func ParseLoad(v string) Load {
 	fields := strings.Split(v, ",")
 	if len(fields) < 2 {
-		return reportedLoad{}
+		return Load{}
 	}
 	running, err := strconv.Atoi(strings.TrimSpace(fields[0]))
 	if err != nil || running < 0 {
-		return reportedLoad{}
+		return Load{}
 	}
 	waiting, err := strconv.Atoi(strings.TrimSpace(fields[1]))
 	if err != nil || waiting < 0 {
-		return reportedLoad{}
+		return Load{}
 	}
-	l := reportedLoad{known: true, running: running, waiting: waiting}
+	l := Load{Known: true, Running: running, Waiting: waiting}
 	if len(fields) > slownessField {
-		l.slowness = parseSlowness(fields[slownessField])
+		l.Slowness = parseSlowness(fields[slownessField])
 	}
 	return l
 }
--- a/pagate/pushback_test.go
+++ b/paheader/value_test.go
@@ -1,15 +1,15 @@
-package pagate
+package paheader
 
 import (
 	"strings"
 	"testing"
 	"time"
-
-	"papayahead/pasteer"
 )
 
+const longestWait = 24 * time.Hour
+
 // A value that is no time must not take a target out of use, and one that is must not be lost beside another.
-func TestPushbackValues(t *testing.T) {
+func TestRetryAfterValues(t *testing.T) {
 	for _, c := range []struct {
 		values     []string
 		want       time.Duration
@@ -32,12 +32,12 @@
 		{[]string{"0x10"}, 0, true},
 		{[]string{"1_0"}, 0, true},
 		{[]string{"Wed, 21 Oct 2026 07:28:00 GMT"}, 0, true},
-		{[]string{"1" + strings.Repeat("0", 400)}, pasteer.MaxPushback, false},
-		{[]string{"1e309"}, pasteer.MaxPushback, false},
+		{[]string{"1" + strings.Repeat("0", 400)}, longestWait, false},
+		{[]string{"1e309"}, longestWait, false},
 		{[]string{"-1e309"}, 0, true},
 		{[]string{"1e-400"}, 0, false},
 	} {
-		if got, unreadable := parsePushback(c.values); got != c.want || unreadable != c.unreadable {
+		if got, unreadable := ParseRetryAfter(c.values, longestWait); got != c.want || unreadable != c.unreadable {
 			t.Errorf("%.40q: %v, unreadable %v, want %v, %v", c.values, got, unreadable, c.want, c.unreadable)
 		}
 	}
