--- a/pagate/response.go
+++ b/pagate/response.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -21,9 +20,6 @@
 // errStray says that a connection carries only responses to other requests.
 var errStray = errors.New("connection carries only responses to other requests")
 
-// errTwoIDs says that a response bears the IDs of two requests.
-var errTwoIDs = errors.New("response with the IDs of two requests")
-
 // readResponse returns the response to this request. Responses to other requests, which arrive late or twice, are
 // detected by their request ID and skipped. What follows one that is too long to skip is no head.
 func (a *attempt) readResponse(r *http.Request) (*http.Response, error) {
@@ -37,9 +33,6 @@
 			continue
 		}
 		id := response.Header.Get(names.RequestID)
-		if slices.ContainsFunc(response.Header.Values(names.RequestID), func(other string) bool { return other != id }) {
-			return nil, errTwoIDs
-		}
 		if id == a.x.id || id == "" && !a.conn.Reused {
 			return response, nil
 		}
