--- a/paconn/pool.go
+++ b/paconn/pool.go
@@ -17,7 +17,6 @@
 	"github.com/jonboulle/clockwork"
 
 	"papayahead/paclock"
-	"papayahead/pasocket"
 )
 
 const (
@@ -26,9 +25,6 @@
 	dialTimeout = 600 * time.Millisecond
 	// MaxIdle is how long an idle connection is kept if the target announces no timeout.
 	MaxIdle = 8 * time.Second
-	// idleMargin is how much sooner than the target an idle connection is closed, so that no request crosses the
-	// target's close.
-	idleMargin = 1500 * time.Millisecond
 	// MaxIdleForOnce is how long after its last response a connection may carry a request that must not be
 	// executed twice. A connection that the target or a middlebox has forgotten swallows the request without an
 	// error, and it stays unknown whether it was executed; a new connection costs about a millisecond.
@@ -37,73 +33,6 @@
 	connBufferSize = 4 << 10
 )
 
-// Conn is a connection to one run of a target.
-type Conn struct {
-	net.Conn
-	reader *bufio.Reader
-	// head bounds what reader reads of the head of a response.
-	head    *headBound
-	address netip.AddrPort
-	target  string
-	born    int64
-	// Opened is when the connection was opened.
-	Opened time.Time
-	// lastUsed is when it last became idle.
-	lastUsed time.Time
-	// idleLimit is how long the connection may be idle.
-	idleLimit time.Duration
-	// Reused says that it was idle before.
-	Reused bool
-	// OpenedFor is why it was opened for a request.
-	OpenedFor OpenReason
-	carried   carriedRequests
-	// room counts the connection until it is closed.
-	room      *Room
-	closeOnce sync.Once
-}
-
-// Close closes the connection.
-func (c *Conn) Close() {
-	c.closeOnce.Do(func() { c.room.open.Add(-1) })
-	c.Conn.Close()
-}
-
-// OpenReason is why a connection was opened although others may have been idle.
-type OpenReason string
-
-const (
-	// OpenNoIdle means that none was idle.
-	OpenNoIdle OpenReason = "NoIdle"
-	// OpenIdleForOnce means that it was idle for too long to carry a request that must run once.
-	OpenIdleForOnce OpenReason = "IdleForOnce"
-	// OpenIdleTooLong means that it was idle for too long.
-	OpenIdleTooLong OpenReason = "IdleTooLong"
-	// OpenCarried means that each idle one has carried the request before.
-	OpenCarried OpenReason = "CarriedBefore"
-	// OpenClosed means that the target had closed it, or sent what nobody asked for.
-	OpenClosed OpenReason = "Closed"
-	// OpenRestarted means that it led to an earlier run of the target.
-	OpenRestarted OpenReason = "Restarted"
-)
-
-// OpenReasons has all reasons.
-var OpenReasons = []OpenReason{OpenNoIdle, OpenIdleForOnce, OpenIdleTooLong, OpenClosed, OpenRestarted, OpenCarried}
-
-// unusableFor returns why an idle connection cannot carry a request to a run of a target; empty if it can.
-func (c *Conn) unusableFor(target string, born int64, idle, maxIdle time.Duration) OpenReason {
-	switch {
-	case c.target != target || c.born != born:
-		return OpenRestarted
-	case idle >= c.idleLimit:
-		return OpenIdleTooLong
-	case idle >= maxIdle:
-		return OpenIdleForOnce
-	case !c.isQuiet():
-		return OpenClosed
-	}
-	return ""
-}
-
 // Room bounds the connections of several pools together. The zero value is no bound.
 type Room struct {
 	// Max is how many connections may be open; 0 is no bound.
@@ -298,24 +227,6 @@
 	}
 }
 
-// LimitIdle bounds how long the connection is kept idle by the timeout that the target announced.
-func (c *Conn) LimitIdle(timeout time.Duration) {
-	c.idleLimit = max(0, min(MaxIdle, timeout-idleMargin))
-}
-
-// HasUnread reports whether bytes have arrived that nobody has read.
-func (c *Conn) HasUnread() bool { return c.reader.Buffered() > 0 }
-
-// RemembersAll reports whether the connection remembers all requests that it has carried and that may be sent again. If not, it must
-// carry no other.
-func (c *Conn) RemembersAll(now time.Time) bool { return c.carried.forgetExpired(now) }
-
-// isQuiet reports whether nothing has arrived on the idle connection, neither bytes nor EOF. Bytes after a complete
-// response belong to no request, and would be taken for the next response.
-func (c *Conn) isQuiet() bool {
-	return c.reader.Buffered() == 0 && pasocket.NothingToRead(c.Conn)
-}
-
 // CloseIdle closes the idle connections to an address: its path failed, and they may have lost it without a sign.
 func (p *Pool) CloseIdle(a netip.AddrPort) {
 	p.mutex.Lock()
