--- a/pagate/ended.go
+++ b/pagate/ended.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"papayahead/paconn"
 	"papayahead/paevent"
 	"papayahead/paquarantine"
 	"papayahead/pasteer"
@@ -17,7 +18,7 @@
 // that is known at its end.
 func (g *Gate) noteOutcome(x *exchange, c pasteer.Choice, r attemptResult, sent time.Time) {
 	switch {
-	case r.outcome == pasteer.Lost && (r.failure == failureReset || r.failure == failureClosed):
+	case r.outcome == pasteer.Lost && (r.failure == paconn.FailureReset || r.failure == paconn.FailureClosed):
 		g.noteLoss(x, c, sent)
 	case r.reply != nil && r.reply.rest != nil:
 		r.reply.onEnd = func(whole bool) {
@@ -55,7 +56,7 @@
 	if err == nil {
 		g.conns.Put(conn)
 	}
-	ended := err != nil && dialFailure(ctx, err) == failureDialRefused
+	ended := err != nil && paconn.DialFailure(ctx, err) == paconn.FailureDialRefused
 	losses := g.endChecks.Finish(t, ended)
 	if !ended {
 		return
--- a/pagate/front.go
+++ b/pagate/front.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"papayahead/pabuffer"
+	"papayahead/paconn"
 	"papayahead/paheader"
 	"papayahead/palane"
 	"papayahead/paproof"
@@ -71,7 +72,7 @@
 	roomWait  time.Duration
 	overtaken int
 	// lastFailure is how the last attempt failed, for the log.
-	lastFailure failure
+	lastFailure paconn.Failure
 	// clientCtx is done when the client disconnects.
 	clientCtx context.Context
 	// fingerprint is the digest of the content once it was computed.
--- a/pagate/lost.go
+++ b/pagate/lost.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"papayahead/paconn"
 	"papayahead/paevent"
 	"papayahead/pasteer"
 	"papayahead/pawire"
@@ -38,7 +39,9 @@
 }
 
 // notePathFailure keeps how the latest connection to a target of a service failed, for the log.
-func (g *Gate) notePathFailure(service string, f failure) { g.pathFailures.Store(service, string(f)) }
+func (g *Gate) notePathFailure(service string, f paconn.Failure) {
+	g.pathFailures.Store(service, string(f))
+}
 
 // maxLoggedPeers is how many entry VMs a log line on lost targets names.
 const maxLoggedPeers = 8
--- a/pagate/meter.go
+++ b/pagate/meter.go
@@ -86,7 +86,7 @@
 		m.deltasApplied(kind).Set(0)
 	}
 	m.deltasSent(deltaNoHistory).Set(0)
-	for _, f := range failures {
+	for _, f := range paconn.Failures {
 		m.attemptFailures(f).Set(0)
 	}
 	for _, r := range paconn.OpenReasons {
@@ -172,7 +172,7 @@
 }
 
 // countAttempt counts an attempt by its outcome, and by how it failed if it did.
-func (m *meter) countAttempt(o pasteer.Outcome, f failure) {
+func (m *meter) countAttempt(o pasteer.Outcome, f paconn.Failure) {
 	m.set.GetOrCreateCounter(`papayahead_gate_attempts_total{outcome="` + o.String() + `"}`).Inc()
 	if f != "" {
 		m.attemptFailures(f).Inc()
@@ -180,7 +180,7 @@
 }
 
 // attemptFailures counts attempts without a complete response.
-func (m *meter) attemptFailures(f failure) *metrics.Counter {
+func (m *meter) attemptFailures(f paconn.Failure) *metrics.Counter {
 	return m.set.GetOrCreateCounter(`papayahead_gate_attempt_failures_total{failure="` + string(f) + `"}`)
 }
 
--- a/pagate/paths.go
+++ b/pagate/paths.go
@@ -72,7 +72,7 @@
 	if err == nil {
 		g.conns.Put(c)
 	} else {
-		g.notePathFailure(p.Service, dialFailure(ctx, err))
+		g.notePathFailure(p.Service, paconn.DialFailure(ctx, err))
 	}
 	g.balancerMutex.Lock()
 	pathFailed := g.balancer.ProbeDone(p, err == nil, g.config.Clock.Now())
--- a/pagate/relaycancel.go
+++ b/pagate/relaycancel.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
-)
 
-// errRelayLost is the cause of the end of an attempt whose relay no longer answers calls.
-var errRelayLost = errors.New("the relay does not answer")
+	"papayahead/paconn"
+)
 
 // relayCancels ends the attempts that wait for a relay. The zero value is ready for use.
 type relayCancels struct {
@@ -42,6 +40,6 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	for c := range r.byName[relay] {
-		(*c)(errRelayLost)
+		(*c)(paconn.ErrPeerLost)
 	}
 }
--- a/pagate/send.go
+++ b/pagate/send.go
@@ -89,7 +89,7 @@
 	// proof is what proves that the target did not run the request and will not.
 	proof paproof.Rejection
 	// failure is how the attempt failed, if it got no complete response.
-	failure failure
+	failure paconn.Failure
 	report  pasteer.Report
 	// connOpened is when the connection was opened.
 	connOpened time.Time
@@ -106,7 +106,7 @@
 		g.meter.openedFor(a.conn.OpenedFor).Inc()
 		r.report.Connected = true
 	}
-	r.report.Unreached = r.failure == failureUnacked
+	r.report.Unreached = r.failure == paconn.FailureUnacked
 	if a.conn != nil {
 		r.connOpened = a.conn.Opened
 	}
@@ -232,15 +232,15 @@
 		r.proof = paproof.Unsent()
 	}
 	if a.conn != nil {
-		r.failure = connFailure(ctx, err)
+		r.failure = paconn.ConnFailure(ctx, err)
 		a.conn.Close()
 	} else {
-		r.outcome, r.failure = pasteer.Refused, dialFailure(ctx, err)
+		r.outcome, r.failure = pasteer.Refused, paconn.DialFailure(ctx, err)
 	}
 	switch r.failure {
-	case failureDeadline:
+	case paconn.FailureDeadline:
 		r.outcome = pasteer.Abandoned
-	case failureNoDescriptor:
+	case paconn.FailureNoDescriptor:
 		r.outcome = pasteer.Withheld
 	}
 	r.report.Outcome = r.outcome
