pagate: a relay's answer that is cut anywhere proves nothing, by a test

A refusal, a loss and an answer of a relay, cut at each byte by an end and by a reset, and a head that is cut before a refusal. A comment of paproof is plainer.

--- a/pagate/cut_test.go
+++ b/pagate/cut_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"papayahead/paconn"
 	"papayahead/paroute"
 )
 
@@ -46,18 +47,29 @@
 
 const cutID = "the-request"
 
-// answerOf returns what the client of a request gets if its target sends some bytes and then ends the connection, and whether it takes
-// that for a whole answer.
-func answerOf(method, bytes string, end error) (a cutAnswer, whole bool) {
+// cutExchange returns a gate with a request that must run once.
+func cutExchange(method string) (*Gate, *exchange) {
 	g := bufferGate(false)
 	g.config.Headers = Headers{RequestID: "X-Request-Id", NotExecuted: "X-Not-Executed", Instance: "X-Instance-Id", Load: "X-Server-Load"}
-	g.conns = g.newPool(func(context.Context, string, string) (net.Conn, error) {
-		return &cutConn{answer: strings.NewReader(bytes), end: end}, nil
-	}, 0)
 	q := httptest.NewRequest(method, "/", http.NoBody)
 	q.Header.Set(g.config.Headers.RequestID, cutID)
 	x := g.newExchange(q)
 	x.route, x.deadline = &paroute.Route{Name: "r"}, time.Now().Add(time.Minute)
+	return g, x
+}
+
+// cutPool returns a pool of connections that send some bytes and then end.
+func (g *Gate) cutPool(bytes string, end error) *paconn.Pool {
+	return g.newPool(func(context.Context, string, string) (net.Conn, error) {
+		return &cutConn{answer: strings.NewReader(bytes), end: end}, nil
+	}, 0)
+}
+
+// answerOf returns what the client of a request gets if its target sends some bytes and then ends the connection, and whether it takes
+// that for a whole answer.
+func answerOf(method, bytes string, end error) (a cutAnswer, whole bool) {
+	g, x := cutExchange(method)
+	g.conns = g.cutPool(bytes, end)
 	r := g.send(context.Background(), x, earlyChoice)
 	if r.reply == nil {
 		return cutAnswer{}, false
@@ -68,6 +80,7 @@
 	go server.Serve(l) //nolint:errcheck // It ends with the listener.
 	defer server.Close()
 	defer client.Close()
+	q := httptest.NewRequest(method, "/", http.NoBody)
 	go q.Write(client) //nolint:errcheck // The response tells.
 	got, err := http.ReadResponse(bufio.NewReader(client), q)
 	if err != nil {
@@ -185,3 +198,34 @@
 		}
 	}
 }
+
+// Guards against a relay's refusal, or answer, that is cut anywhere and believed: the relay may have sent the request.
+func TestRelaysAnswerThatIsCutProvesNothing(t *testing.T) {
+	said := func(status, relay, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\nX-Request-Id: %s\r\nPapaya-Relay: %s\r\nContent-Length: %d\r\n\r\n%s", status, cutID, relay, len(body), body)
+	}
+	play := func(bytes string, end error) (attemptResult, *exchange) {
+		g, x := cutExchange(http.MethodPost)
+		a := &attempt{gate: g, x: x, choice: earlyChoice, relayCall: "{}", startedAt: time.Now()}
+		return a.sendOn(context.Background(), g.cutPool(bytes, end)), x
+	}
+	for name, answer := range map[string]string{
+		"a refusal":      said("503 Service Unavailable", `{"Outcome":"NotRun","Reason":"Full"}`, "Full"),
+		"a loss":         said("502 Bad Gateway", `{"Outcome":"Unknown","Reason":"TargetLost"}`, "TargetLost"),
+		"an answer":      said("200 OK", `{"Outcome":"Answered","Target":"t"}`, cutBody),
+		"another's head": "HTTP/1.1 503 X\r\nServer: " + said("200 OK", `{"Outcome":"NotRun"}`, "Full"),
+	} {
+		head := strings.Index(answer, "\r\n\r\n") + len("\r\n\r\n")
+		for _, end := range []error{io.EOF, syscall.ECONNRESET} {
+			for cut := range answer {
+				r, x := play(answer[:cut], end)
+				if r.reply != nil {
+					t.Errorf("%s, cut at byte %d, end %v: %+v", name, cut, end, r.reply)
+				}
+				if isRefusal := name == "a refusal" && cut >= head; r.proof.Proved() != isRefusal || x.sends.Close().Proved() != isRefusal {
+					t.Errorf("%s, cut at byte %d, end %v: proof %v", name, cut, end, r.proof.Proved())
+				}
+			}
+		}
+	}
+}
--- a/paproof/response.go
+++ b/paproof/response.go
@@ -32,8 +32,7 @@
 
 // Rejection returns the proof that the target did not run the request, if the response is one.
 //
-// A status alone proves nothing: a target may run a request and then say that it is too busy, as one does whose own
-// back end is.
+// A status alone proves nothing: a target may run a request and then answer 503, because something behind it is too busy.
 func (r Response) Rejection() Rejection {
 	other := r.Status == http.StatusMisdirectedRequest && r.Responder != "" && r.Responder != r.Target
 	return Rejection{proved: r.NotExecuted || other}
