palane, pabuffer, pahead, pagate: one account of a gate's memory, taken from before a head or body is read, on every port

Cause: nothing summed up what clients cost. Heads were read up to 260 KB whatever the configuration says and parsed twice, some 800 bytes a line; bodies had a bound on contended services alone; the ports for look-ups, readiness, metrics and relays had none; net/http's limit for metrics was 1 MiB. A connection that had ended stayed in memory for half a second by the timer of its lingering: a crowd that comes and goes left 17,000 of them (71 MB of read buffers in a heap profile). Why this works: pabuffer.Budget is one account of half of the memory limit, with parts for heads, bodies and messages; what an ordinary request takes may use all that is left. pahead finds the end of a head as it arrives and counts what it will cost, before anything is parsed of it. Too long a head gets 431, one without room 503 with Retry-After at once: nothing of it was sent on. All HTTP ports are served by palane now. Clients that have stopped in the middle of a request for a second are closed first, the longest first. The runtime is told its limit (0.7 of the memory), the system receives 16 KB on a connection until a long body arrives. headSize counted two bytes too much for a line; the bytes as received count now.

--- a/pagate/buffer.go
+++ b/pagate/buffer.go
@@ -1,10 +1,12 @@
 package pagate
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"time"
 
+	"papayahead/pabuffer"
 	"papayahead/paroute"
 )
 
@@ -20,16 +22,20 @@
 // hold reads up to maxBuffered bytes of a body into memory, or one more if it is longer. With pabuffer.ErrUsedUp it returns what there
 // was room for.
 func (g *Gate) hold(x *exchange, body io.Reader) ([]byte, error) {
-	if !g.buffers.IsBounded() {
+	if !g.memory.budget.IsBounded() {
 		return io.ReadAll(io.LimitReader(body, maxBuffered+1))
 	}
-	return x.hold.Read(body, maxBuffered)
+	b, err := x.hold.Read(body, maxBuffered)
+	if errors.Is(err, pabuffer.ErrUsedUp) {
+		g.closeStalled()
+	}
+	return b, err
 }
 
 // readClientBody is readBody for a request of a client. What is held of a body must not stay until its client ends the connection: it
 // is awaited as long as a response would be of use.
 func (g *Gate) readClientBody(w http.ResponseWriter, x *exchange, r *http.Request, l paroute.Limits) (status int, reason string) {
-	if !g.buffers.IsBounded() || r.ContentLength == 0 {
+	if !g.memory.budget.IsBounded() || r.ContentLength == 0 {
 		return g.readBody(x, r, l)
 	}
 	c := http.NewResponseController(w)
@@ -58,7 +64,7 @@
 // boundUnread closes the client's connection if the response is not read some time after the request's deadline, until the returned
 // function is called. What is held of it must not stay until the client ends the connection.
 func (g *Gate) boundUnread(x *exchange) (done func()) {
-	if !g.buffers.IsBounded() || x.lane == nil {
+	if !g.memory.budget.IsBounded() || x.lane == nil {
 		return func() {}
 	}
 	left := max(0, x.deadline.Sub(g.config.Clock.Now())) + unreadSlack
@@ -68,7 +74,7 @@
 
 // copyRest passes on the rest of a response that is not held.
 func (g *Gate) copyRest(w io.Writer, r io.Reader) error {
-	if !g.buffers.IsBounded() {
+	if !g.memory.budget.IsBounded() {
 		_, err := io.Copy(w, r)
 		return err
 	}
--- a/pagate/front.go
+++ b/pagate/front.go
@@ -116,12 +116,10 @@
 		g.refuseAuthentication(w, x, status, reason)
 		return
 	}
-	if limit := s.table.Config.Limits.MaxHeader; limit > 0 && headerSize(r) > limit {
-		g.writeError(w, x, http.StatusRequestHeaderFieldsTooLarge, reasonHeaderTooLarge)
-		return
-	}
 	if status, reason := g.readClientBody(w, x, r, s.table.Config.Limits); status != 0 {
-		g.discardBody(w, r)
+		if x.unread = status == http.StatusServiceUnavailable; !x.unread {
+			g.discardBody(w, r)
+		}
 		g.refuseBody(w, x, status, reason)
 		return
 	}
@@ -156,7 +154,7 @@
 	x := &exchange{
 		id: r.Header.Get(g.config.Headers.RequestID), method: r.Method, uri: r.RequestURI, host: r.Host,
 		header: paheader.EndToEnd(r.Header), size: r.ContentLength, arrived: g.config.Clock.Now(),
-		clientCtx: r.Context(), lane: palane.FromContext(r.Context()), hold: pabuffer.Hold{Budget: &g.buffers},
+		clientCtx: r.Context(), lane: palane.FromContext(r.Context()), hold: pabuffer.Hold{Budget: &g.memory.budget},
 	}
 	x.header.Del(relayHeader)
 	if c, err := r.Cookie(g.config.Headers.ObjectCookie); err == nil {
@@ -170,20 +168,6 @@
 	return p
 }
 
-// headerLineOverhead is the size of a header line besides its name and value: a colon, a space and CRLF.
-const headerLineOverhead = 4
-
-// headerSize returns the size of the request line and header in bytes.
-func headerSize(r *http.Request) int {
-	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + headerLineOverhead + len("Host") + len(r.Host) + headerLineOverhead
-	for name, values := range r.Header {
-		for _, v := range values {
-			n += len(name) + len(v) + headerLineOverhead
-		}
-	}
-	return n
-}
-
 // readBody reads up to maxBuffered bytes of the body. A status other than 0 is the response to a request whose body
 // is refused.
 func (g *Gate) readBody(x *exchange, r *http.Request, l paroute.Limits) (status int, reason string) {
--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"papayahead/pabucket"
-	"papayahead/pabuffer"
 	"papayahead/paclock"
 	"papayahead/paconn"
 	"papayahead/paevent"
@@ -34,8 +33,7 @@
 	quotas  *rateShares
 	limiter *limiter
 	returns returns
-	// buffers bounds what is held of requests' and responses' bodies; it has no bound unless services are contended.
-	buffers pabuffer.Budget
+	memory  memory
 	conns   *paconn.Pool
 	// relayConns are the connections to relays; relayCancels ends what waits for a relay that is lost.
 	relayConns *paconn.Pool
@@ -128,9 +126,7 @@
 			Contended: s.Contended, Off: c.Off,
 		}),
 	}
-	if s.Contended {
-		g.buffers.SetMemory(s.MemoryMB)
-	}
+	g.memory.budget.SetMemory(s.MemoryMB)
 	g.ports.set(c)
 	g.requestsCtx, g.cancelRequests = context.WithCancel(context.Background())
 	g.startUptime = g.uptime()
@@ -171,11 +167,12 @@
 	if err := g.listen(); err != nil {
 		return err
 	}
-	g.clientListener = palane.NewListener(palane.Config{
-		Base: g.ports.listeners[portClients], Clock: g.config.Clock, MaxHeaderBytes: maxHeader,
-		HeaderTimeout: func() time.Duration { return g.clientLimits().HeaderTimeout },
-		MaxConns:      g.ports.shares.Clients, MaxRefusing: g.ports.shares.Refusing,
-	})
+	clients := g.laneConfig(portClients, g.ports.shares.Clients)
+	clients.MaxRefusing = g.ports.shares.Refusing
+	front := g.memory.add(palane.NewServer(clients, http.HandlerFunc(g.serveClient)))
+	g.clientListener = front.Listener
+	ready := g.newServer(g.laneConfig(portReadiness, g.ports.shares.Readiness), g.serveReady)
+	lookUps := g.newServer(g.laneConfig(portLookUps, g.ports.shares.LookUps), g.serveLookUp)
 	s := g.config.Settings
 	g.record(paevent.Started{
 		Role: "gate", Version: g.config.Version, Zone: s.Zone, Callers: s.Front.String(), Peers: s.Peers.String(),
@@ -189,19 +186,14 @@
 	g.spawn(func() { g.limiter.run(ctx) })
 	g.spawn(func() { g.logTraffic(ctx) })
 	g.spawn(func() { g.watchPaths(ctx) })
-	front := &http.Server{
-		Handler: http.HandlerFunc(g.serveClient), MaxHeaderBytes: maxHeader,
-		ConnState: g.clientListener.TrackState, ConnContext: palane.WithLane,
-	}
-	g.spawn(func() { g.controlLoop(ctx) })
 	g.servePeers(ctx, g.ports.listeners[portPeers])
-	ready, lookUps := g.server(http.HandlerFunc(g.serveReady)), g.server(http.HandlerFunc(g.serveLookUp))
-	ready.ConnState, lookUps.ConnState = g.ports.readiness.Track, g.ports.lookUps.Track
-	g.exportConnections()
-	g.serve(g.clientListener.Run)
-	g.serve(func() error { return front.Serve(g.clientListener) })
-	g.serve(func() error { return ready.Serve(g.ports.listeners[portReadiness]) })
-	g.serve(func() error { return lookUps.Serve(g.ports.listeners[portLookUps]) })
+	g.spawn(func() { g.controlLoop(ctx) })
+	g.exportConnections(map[string]*palane.Listener{"LookUps": lookUps.Listener, "Readiness": ready.Listener})
+	g.exportMemory()
+	g.serve(front.Listener.Run)
+	g.serve(func() error { return front.HTTP.Serve(front.Listener) })
+	g.serve(ready.Run)
+	g.serve(lookUps.Run)
 	select {
 	case <-soft.Done():
 		g.shutDown(hard, g.ports.listeners[portClients])
@@ -209,7 +201,6 @@
 	}
 	g.cancelRequests()
 	front.Close()
-	g.clientListener.CloseConnections()
 	ready.Close()
 	lookUps.Close()
 	cancel()
@@ -217,10 +208,6 @@
 	return nil
 }
 
-func (g *Gate) server(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader}
-}
-
 func (g *Gate) spawn(f func()) {
 	g.goroutines.Add(1)
 	go func() {
--- a/pagate/loop.go
+++ b/pagate/loop.go
@@ -49,7 +49,7 @@
 			g.endPushbacks()
 			g.quarantineChanged(g.quarantine.Tick(now))
 			g.logStaleness(g.state.Load())
-			g.clientListener.CloseIdle(now, g.clientLimits().IdleTimeout)
+			g.closeIdle(now)
 		case e = <-g.events:
 			now = g.config.Clock.Now()
 			changed = g.handleEvent(&v, e, &verifiedAt, now)
--- a/pagate/meter.go
+++ b/pagate/meter.go
@@ -2,12 +2,15 @@
 
 import (
 	"io"
+	"net"
+	"net/http"
 	"strconv"
 	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"papayahead/pabuffer"
 	"papayahead/paconn"
 	"papayahead/paevent"
 	"papayahead/pafleet"
@@ -79,7 +82,7 @@
 	})
 	m.set.NewGauge("papayahead_gate_retry_sharers", func() float64 { return float64(g.sharers.Load()) })
 	m.exportReturns(g)
-	m.set.NewGauge("papayahead_gate_held_body_bytes", func() float64 { return float64(g.buffers.Held()) })
+	m.set.NewGauge("papayahead_gate_held_body_bytes", func() float64 { return float64(g.memory.budget.HeldFor(pabuffer.Bodies)) })
 	m.set.NewGauge("papayahead_gate_lost_services", func() float64 { return float64(len(g.lost())) })
 	for _, kind := range []string{deltaNothing, deltaChanges, deltaWhole} {
 		m.deltasSent(kind).Set(0)
@@ -255,6 +258,13 @@
 // WriteMetrics writes the metrics in the Prometheus text format.
 func (g *Gate) WriteMetrics(w io.Writer) { g.meter.set.WritePrometheus(w) }
 
+// ServeMetrics serves the metrics on a port of its own until that is closed.
+func (g *Gate) ServeMetrics(l net.Listener) error {
+	c := g.laneConfig(portMetrics, g.ports.shares.Readiness)
+	c.Base = l
+	return g.newServer(c, func(w http.ResponseWriter, _ *http.Request) { g.WriteMetrics(w) }).Run()
+}
+
 // CountDroppedLines exports n, the number of log lines dropped because the log's reader was slow, as a metric, and
 // logs it when it grows.
 func (g *Gate) CountDroppedLines(n *atomic.Uint64) {
--- a/pagate/peerserver.go
+++ b/pagate/peerserver.go
@@ -19,12 +19,14 @@
 		panic("pagate: register the calls of entry VMs: " + err.Error())
 	}
 	split := drpcmigrate.NewListenMux(l, len(relayPrefix))
-	relays, relayServer := split.Route(relayPrefix), g.relayServer()
+	relays := g.relayServer(split.Route(relayPrefix))
 	g.serve(func() error {
-		defer context.AfterFunc(ctx, func() { relayServer.Close() })()
-		return relayServer.Serve(relays)
+		defer context.AfterFunc(ctx, relays.Close)()
+		return relays.Run()
+	})
+	g.serve(func() error {
+		return untilDone(ctx, drpcserver.New(mux).Serve(ctx, pawire.NewBoundListener(split.Default(), &g.memory.budget)))
 	})
-	g.serve(func() error { return untilDone(ctx, drpcserver.New(mux).Serve(ctx, split.Default())) })
 	g.serve(func() error { return untilDone(ctx, split.Run(ctx)) })
 }
 
--- a/pagate/port.go
+++ b/pagate/port.go
@@ -52,8 +52,6 @@
 	shares paport.Shares
 	// opened bounds the connections to targets and relays.
 	opened paconn.Room
-	// lookUps and readiness bound the connections to these ports.
-	lookUps, readiness paport.Bound
 	// errorLines and fullLines bound the log lines on errors and on a lack of room; fullLogged is how much was done for it as logged.
 	errorLines, fullLines pabucket.Bucket
 	fullLogged            uint64
@@ -63,8 +61,6 @@
 func (p *ports) set(c Config) {
 	p.shares = paport.Divide(c.Settings.Sockets)
 	p.opened.Max = p.shares.Targets
-	p.lookUps.Max, p.lookUps.Clock = p.shares.LookUps, c.Clock
-	p.readiness.Max, p.readiness.Clock = p.shares.Readiness, c.Clock
 	for _, lines := range []*pabucket.Bucket{&p.errorLines, &p.fullLines} {
 		lines.Rate, lines.Burst = portLineRate, portLineBurst
 	}
@@ -120,7 +116,7 @@
 }
 
 // exportConnections adds the open connections, and what was done for lack of room, to the metrics.
-func (g *Gate) exportConnections() {
+func (g *Gate) exportConnections(others map[string]*palane.Listener) {
 	counts := func(name string, value func(n palane.Counts) float64) {
 		g.meter.set.NewGauge(name, func() float64 { return value(g.clientListener.Counts()) })
 	}
@@ -129,14 +125,11 @@
 	counts(`papayahead_gate_clients_refused_for_room`, func(n palane.Counts) float64 { return float64(n.Refused) })
 	counts(`papayahead_gate_clients_dropped_for_room`, func(n palane.Counts) float64 { return float64(n.Dropped) })
 	g.meter.set.NewGauge(`papayahead_gate_connections{kind="Targets"}`, func() float64 { return float64(g.ports.opened.Open()) })
-	for kind, b := range map[string]*paport.Bound{"LookUps": &g.ports.lookUps, "Readiness": &g.ports.readiness} {
-		g.meter.set.NewGauge(`papayahead_gate_connections{kind="`+kind+`"}`, func() float64 {
-			open, _ := b.Counts()
-			return float64(open)
-		})
+	for kind, l := range others {
+		g.meter.set.NewGauge(`papayahead_gate_connections{kind="`+kind+`"}`, func() float64 { return float64(l.Counts().Open) })
 		g.meter.set.NewGauge(`papayahead_gate_connections_closed_for_room{kind="`+kind+`"}`, func() float64 {
-			_, closed := b.Counts()
-			return float64(closed)
+			n := l.Counts()
+			return float64(n.Closed + n.Refused)
 		})
 	}
 }
--- a/pagate/relayed.go
+++ b/pagate/relayed.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"net/http"
 	"time"
 
+	"papayahead/palane"
 	"papayahead/pasteer"
 )
 
@@ -37,6 +39,12 @@
 	defer x.hold.Release()
 	x.direct = true
 	x.relayed = &relayCall{}
+	if x.lane.Refused() {
+		x.unread = r.ContentLength != 0
+		g.refuse(w, x, reasonNoRoom, retryAfterRelay)
+		return
+	}
+	x.lane = nil // The first entry VM keeps the order of its client's requests.
 	if err := json.Unmarshal([]byte(r.Header.Get(relayHeader)), x.relayed); err != nil {
 		g.writeError(w, x, http.StatusBadRequest, reasonBadRelayCall)
 		return
@@ -96,11 +104,11 @@
 	return ""
 }
 
-// relayServer returns the server for requests of other entry VMs.
-func (g *Gate) relayServer() *http.Server {
-	s := g.server(http.HandlerFunc(g.serveRelayed))
-	s.MaxHeaderBytes = 2 * maxHeader
-	return s
+// relayServer returns the server for requests of other entry VMs. Their heads are those of clients with what the entry VMs add.
+func (g *Gate) relayServer(l net.Listener) *palane.Server {
+	c := g.laneConfig(portPeers, g.ports.shares.Clients)
+	c.Base, c.MaxHeaderBytes, c.MaxHead = l, 2*maxHeader, nil
+	return g.newServer(c, g.serveRelayed)
 }
 
 // saidElsewhere reports whether another relay may serve a request that this one refused: this one shuts down, is behind, has
--- a/palane/conn.go
+++ b/palane/conn.go
@@ -9,6 +9,9 @@
 	"sync"
 	"time"
 
+	"github.com/jonboulle/clockwork"
+
+	"papayahead/pabuffer"
 	"papayahead/pasocket"
 )
 
@@ -31,8 +34,13 @@
 	reader   *bufio.Reader
 	// refused says that there was no room for the connection: it carries one request, which is refused.
 	refused bool
-	// recorder is the source of the header parser. Only the reader goroutine uses recorder and afterPost.
+	// recorder is the source of the header parser, claim what the request that arrives has taken of the memory. Only the reader
+	// goroutine uses recorder, claim and afterPost.
 	recorder recordingReader
+	claim    pabuffer.Claim
+	arrival  arrival
+	// wide says that a long body has arrived; the reader goroutine alone uses it.
+	wide bool
 	// afterPost is set if the previous request was a POST.
 	afterPost bool
 	// disconnected is closed when no response can be sent any more: the client disconnected or the connection was closed.
@@ -53,12 +61,14 @@
 	unusedSince time.Time
 	// buffered is the number of response bytes that wait for their turn.
 	buffered int64
+	// lingering closes the connection some time after its last response.
+	lingering clockwork.Timer
 }
 
 func newConn(l *Listener, raw net.Conn) *conn {
 	c := &conn{
 		listener: l, raw: raw, reader: bufio.NewReaderSize(raw, readBufferSize),
-		disconnected: make(chan struct{}), unusedSince: l.config.Clock.Now(),
+		disconnected: make(chan struct{}), unusedSince: l.config.Clock.Now(), claim: pabuffer.Claim{Budget: l.config.Memory},
 	}
 	c.changed = sync.NewCond(&c.mutex)
 	c.recorder.source = c.reader
@@ -82,45 +92,78 @@
 	}
 	c.disconnect()
 	c.raw.Close()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.lingering != nil {
+		c.lingering.Stop() // It holds the connection's buffers; clients that come and go would leave thousands of them.
+	}
 }
 
 // dispatchNext reads one request and passes it to a lane. It returns false after the last one.
 func (c *conn) dispatchNext() bool {
+	defer c.claim.Release()
 	if !c.awaitRequest() {
 		return false
 	}
+	if err := c.readHead(); err != nil {
+		c.reject(err)
+		return false
+	}
 	br := headerReaders.Get().(*bufio.Reader)
 	defer headerReaders.Put(br)
-	r, err := c.readHeader(br)
-	c.afterPost = err == nil && r.Method == http.MethodPost
-	lane := c.assignLane(r)
-	if lane == nil {
+	br.Reset(&c.recorder)
+	r, err := http.ReadRequest(br)
+	if err != nil || conflictingFraming(c.recorder.recorded, r) {
+		c.reject(err)
 		return false
 	}
-	switch {
-	case err != nil:
-		c.forwardMalformed(lane)
+	c.afterPost = r.Method == http.MethodPost
+	if !c.claimBody(r) {
+		c.reject(errNoRoom)
+		return false
+	}
+	lane, err := c.assignLane(r.Close)
+	if err != nil {
+		c.reject(err)
 		return false
-	case conflictingFraming(c.recorder.recorded, r):
-		lane.feed([]byte(invalidRequest))
+	}
+	if !lane.feed(c.recorder.recorded) {
 		return false
-	case !lane.feed(c.recorder.recorded) || !c.forwardBody(lane, r):
+	}
+	c.recorder.shrink()
+	b := bodyOf(r)
+	r = nil // What was parsed is not needed any more, but for a body in chunks.
+	if !c.forwardBody(lane, b) {
 		return false
 	}
-	return !r.Close && !c.refused && (boundaryCertain(r) || c.waitUntil(func() bool { return lane.state != active }))
+	return !b.last && !c.refused && (b.certain || c.waitUntil(func() bool { return lane.state != active }))
+}
+
+// reject rejects the request that arrives, by why it was not read. Nothing more is read after it.
+func (c *conn) reject(why error) {
+	switch {
+	case errors.Is(why, ErrConnectionEnded):
+	case errors.Is(why, errHeadTooLong):
+		c.refuse(HeadTooLong)
+	case errors.Is(why, errNoRoom):
+		c.refuse(NoRoom)
+	case c.recorder.failed:
+		c.refuse(Incomplete)
+	case why == nil:
+		c.forwardMalformed([]byte(invalidRequest))
+	default:
+		c.forwardMalformed(c.recorder.recorded)
+	}
 }
 
-// forwardMalformed passes a malformed header and all further input to the server, which rejects it and closes the
-// connection.
-func (c *conn) forwardMalformed(lane *Lane) {
-	var b [readBufferSize]byte
-	err := c.recorder.err
-	for p := c.recorder.recorded; lane.feed(p) && err == nil; {
-		var n int
-		n, err = c.reader.Read(b[:])
-		p = b[:n]
-	}
-	lane.endInput(err)
+// forwardMalformed passes what is no request to the server, which rejects it and closes the connection.
+func (c *conn) forwardMalformed(input []byte) {
+	lane, err := c.assignLane(true)
+	if err != nil {
+		c.refuse(NoRoom)
+		return
+	}
+	lane.feed(input)
 }
 
 // awaitRequest waits for the first byte of a request and reports whether the request may be read.
@@ -157,25 +200,45 @@
 // headerReaders pools the header parser's buffers, which a connection needs only while a header arrives.
 var headerReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
 
-// readHeader parses a request's header, whose bytes are then in the recorder, within the header timeout. The request's
-// body continues to read from br.
-func (c *conn) readHeader(br *bufio.Reader) (*http.Request, error) {
+// readHead reads a request's head, whose bytes are then in the recorder, within the header timeout. It takes what the head costs while it
+// arrives, and fails once that finds no room, or the head is too long or none.
+func (c *conn) readHead() error {
+	c.recorder.begin()
+	limit := c.listener.maxHead()
 	timed := false
-	c.recorder.onWait = func() {
-		if d := c.headerTimeout(); d > 0 && !timed {
+	defer func() {
+		c.arrival.end()
+		if timed {
+			c.setReadDeadline(time.Time{})
+		}
+	}()
+	for {
+		if d := c.headerTimeout(); c.reader.Buffered() == 0 && !timed {
 			timed = true
-			c.setReadDeadline(c.listener.config.Clock.Now().Add(d))
+			c.arrival.begin(c.listener.config.Clock.Now())
+			if d > 0 {
+				c.setReadDeadline(c.listener.config.Clock.Now().Add(d))
+			}
 		}
+		n, done, err := c.recorder.scan()
+		switch {
+		case err != nil:
+			return err
+		case c.recorder.scanner.Bytes > limit+lineEnd:
+			return errHeadTooLong
+		case !c.claim.GrowTo(pabuffer.Heads, c.recorder.scanner.Cost()):
+			c.listener.lacksMemory()
+			return errNoRoom
+		case done:
+			return c.recorder.scanner.Fault
+		}
+		c.arrival.progress(n, c.listener.config.Clock.Now)
 	}
-	c.recorder.reset(c.listener.config.MaxHeaderBytes + headerSlop)
-	br.Reset(&c.recorder)
-	r, err := http.ReadRequest(br)
-	if c.recorder.onWait = nil; timed {
-		c.setReadDeadline(time.Time{})
-	}
-	return r, err
 }
 
+// lineEnd is the length of the empty line at the end of a head, which does not count toward its limit.
+const lineEnd = 2
+
 func (c *conn) headerTimeout() time.Duration {
 	if c.refused {
 		return refusedTimeout
@@ -194,34 +257,67 @@
 	}
 }
 
-// assignLane returns a lane for the next request, or nil if no more requests are accepted. It waits while MaxPipelined
-// requests are in flight. r is nil for a malformed request.
-func (c *conn) assignLane(r *http.Request) *Lane {
-	if !c.waitUntil(func() bool { return len(c.inFlight) < MaxPipelined }) {
-		return nil
+// assignLane returns a lane for the next request. It waits while MaxPipelined requests are in flight, or as many as there is room for. last
+// says that the request is the last one. It fails with errNoRoom, or with ErrConnectionEnded if no more requests are accepted.
+func (c *conn) assignLane(last bool) (*Lane, error) {
+	lane, err := c.acquireLane()
+	if err != nil {
+		return nil, err
 	}
-	lane := c.popIdleLane()
-	if lane == nil {
-		lane = newLane(c)
-		select {
-		case c.listener.lanes <- lane:
-		case <-c.listener.ctx.Done():
-			return nil
+	if !c.startLane(lane, last || c.refused) {
+		return nil, ErrConnectionEnded
+	}
+	return lane, nil
+}
+
+// acquireLane returns an idle lane or a new one.
+func (c *conn) acquireLane() (*Lane, error) {
+	if !c.waitUntil(func() bool { return len(c.inFlight) < c.listener.maxPipelined() }) {
+		return nil, ErrConnectionEnded
+	}
+	if lane := c.popIdleLane(); lane != nil {
+		return lane, nil
+	}
+	memory := c.listener.config.Memory
+	if !memory.Take(pabuffer.Connections, laneCost) {
+		c.listener.lacksMemory()
+		// One of the requests in flight leaves a lane that serves this one too.
+		if !c.waitUntil(func() bool { return len(c.idleLanes) > 0 || len(c.inFlight) == 0 }) {
+			return nil, ErrConnectionEnded
+		}
+		if lane := c.popIdleLane(); lane != nil {
+			return lane, nil
 		}
+		if !memory.Take(pabuffer.Connections, laneCost) {
+			return nil, errNoRoom
+		}
+	}
+	lane := newLane(c)
+	select {
+	case c.listener.lanes <- lane:
+		return lane, nil
+	case <-c.listener.ctx.Done():
+		memory.PutBack(pabuffer.Connections, laneCost)
+		return nil, ErrConnectionEnded
 	}
+}
+
+// startLane gives a lane the next request, and what that has taken of the memory. It reports whether requests are still accepted.
+func (c *conn) startLane(lane *Lane, last bool) bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	if c.stopped || lane.closed {
 		lane.retire()
-		return nil
+		return false
 	}
-	c.stopped = r == nil || r.Close || c.refused
+	c.stopped = last
 	lane.start()
+	lane.claim.Move(&c.claim)
 	c.inFlight = append(c.inFlight, lane)
 	if len(c.inFlight) == 1 {
 		close(lane.turn)
 	}
-	return lane
+	return true
 }
 
 func (c *conn) popIdleLane() *Lane {
@@ -278,19 +374,52 @@
 	}
 }
 
+// body is what is needed of a parsed request to pass its body on, and to read what follows.
+type body struct {
+	// length is -1 for a body in chunks, which chunks reads.
+	length int64
+	chunks io.Reader
+	// last says that the connection is closed after the request, certain that the server finds the same end of it.
+	last, certain bool
+}
+
+func bodyOf(r *http.Request) body {
+	b := body{length: r.ContentLength, last: r.Close, certain: boundaryCertain(r)}
+	if b.length < 0 {
+		b.chunks = r.Body
+	}
+	return b
+}
+
+// claimBody takes what is held of a request's body on its way to the server, and reports whether there was room.
+func (c *conn) claimBody(r *http.Request) bool {
+	n := min(r.ContentLength, maxInput) + min(r.ContentLength, bodyBuffer)
+	if n <= bodyBuffer {
+		return true // It is in what the connection and the lane have taken.
+	}
+	return c.claim.Take(pabuffer.Bodies, n)
+}
+
+// bodyBuffers pools the buffers in which bodies are read.
+var bodyBuffers = sync.Pool{New: func() any { return new([bodyBuffer]byte) }}
+
 // forwardBody passes a request's body to its lane as it arrives, and reports whether it was passed on completely.
-func (c *conn) forwardBody(lane *Lane, r *http.Request) bool {
-	if r.ContentLength > 0 {
-		_, err := io.CopyN(lane.inputWriter(), c.reader, r.ContentLength)
-		return err == nil
+func (c *conn) forwardBody(lane *Lane, b body) bool {
+	defer c.arrival.end()
+	if b.length > 0 {
+		return c.forwardBytes(lane, b.length)
 	}
-	if r.ContentLength == 0 {
+	if b.length == 0 {
 		return true
 	}
-	var b [readBufferSize]byte
-	for {
-		c.recorder.reset(0)
-		_, err := r.Body.Read(b[:])
+	var p [readBufferSize]byte
+	for read := 0; ; {
+		c.awaitBody()
+		c.recorder.reset()
+		_, err := b.chunks.Read(p[:])
+		read += len(c.recorder.recorded)
+		c.widen(lane, read)
+		c.arrival.progress(len(c.recorder.recorded), c.listener.config.Clock.Now)
 		if !lane.feed(c.recorder.recorded) {
 			return false
 		}
@@ -300,6 +429,31 @@
 	}
 }
 
+// forwardBytes passes a body of a length on.
+func (c *conn) forwardBytes(lane *Lane, left int64) bool {
+	buffer := bodyBuffers.Get().(*[bodyBuffer]byte)
+	defer bodyBuffers.Put(buffer)
+	for read := 0; left > 0; {
+		c.awaitBody()
+		n, err := c.reader.Read(buffer[:min(left, bodyBuffer)])
+		read += n
+		c.widen(lane, read)
+		c.arrival.progress(n, c.listener.config.Clock.Now)
+		left -= int64(n)
+		if !lane.feed(buffer[:n]) || err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// awaitBody notes that more of a body is awaited from the client.
+func (c *conn) awaitBody() {
+	if c.reader.Buffered() == 0 {
+		c.arrival.begin(c.listener.config.Clock.Now())
+	}
+}
+
 // stop accepts no more requests. The connection is closed after the last response.
 func (c *conn) stop() {
 	c.mutex.Lock()
@@ -347,7 +501,7 @@
 		c.raw.Close()
 		return
 	}
-	c.listener.config.Clock.AfterFunc(lingerTimeout, func() { c.raw.Close() })
+	c.lingering = c.listener.config.Clock.AfterFunc(lingerTimeout, func() { c.raw.Close() })
 	if c.awaitingResponses {
 		c.setReadDeadline(c.listener.config.Clock.Now())
 	}
@@ -361,6 +515,7 @@
 		return
 	}
 	lane.state = idle
+	lane.claim.Release()
 	c.inFlight = c.inFlight[1:]
 	c.served = true
 	c.recycle(lane)
--- a/palane/frame.go
+++ b/palane/frame.go
@@ -6,44 +6,78 @@
 	"errors"
 	"net/http"
 	"net/textproto"
+
+	"papayahead/pahead"
 )
 
-// headerSlop is how many bytes beyond MaxHeaderBytes an http.Server reads before it answers 431.
-const headerSlop = 4 << 10
+var (
+	// errHeadTooLong reports a head that is longer than clients may send, errNoRoom that there is no memory for the request.
+	errHeadTooLong = errors.New("request head is too long")
+	errNoRoom      = errors.New("no memory for the request")
+)
 
-// recordingReader reads a connection byte by byte and records the bytes. A parser on top of it never reads ahead, so
-// that the exact end of a request is known.
+// recordingReader records what it reads from a connection. It first reads a head, and then serves it to a parser, with the bytes that
+// follow one by one: the parser never reads ahead, so that the exact end of a request is known.
 type recordingReader struct {
 	source *bufio.Reader
-	// recorded is what was read since reset; limit is its maximum length, zero for none.
+	// scanner finds the end of the head; complete says that it did.
+	scanner  pahead.Scanner
+	complete bool
+	// recorded is what was read since the beginning of the head or since reset, of which the parser has got served bytes.
 	recorded []byte
-	limit    int
-	// err is the last error of source.
-	err error
-	// onWait is called before a read that has to wait for the client.
-	onWait func()
+	served   int
+	// failed says that source has failed.
+	failed bool
 }
 
-// reset discards the recorded bytes and sets a new limit.
-func (t *recordingReader) reset(limit int) { t.recorded, t.limit = t.recorded[:0], limit }
+// begin begins a head.
+func (t *recordingReader) begin() {
+	t.scanner, t.complete = pahead.Scanner{Request: true}, false
+	t.reset()
+}
 
-// errHeaderTooLong reports a header that is longer than the server accepts.
-var errHeaderTooLong = errors.New("request header is too long")
+// reset discards the recorded bytes.
+func (t *recordingReader) reset() { t.recorded, t.served = t.recorded[:0], 0 }
 
-// Read reads one byte. It fails with errHeaderTooLong at the limit, otherwise with the error of source.
-func (t *recordingReader) Read(p []byte) (int, error) {
-	if t.limit > 0 && len(t.recorded) >= t.limit {
-		return 0, errHeaderTooLong
+// shrink returns the memory of a long head.
+func (t *recordingReader) shrink() {
+	if cap(t.recorded) > readBufferSize {
+		t.recorded, t.served = nil, 0
+	}
+}
+
+// scan reads what has arrived of the head, waiting for the first byte. done says that the head has ended.
+func (t *recordingReader) scan() (n int, done bool, err error) {
+	if _, err := t.source.Peek(1); err != nil {
+		t.failed = true
+		return 0, false, err
 	}
-	if t.onWait != nil && t.source.Buffered() == 0 {
-		t.onWait()
+	b, err := t.source.Peek(t.source.Buffered())
+	if err != nil {
+		return 0, false, err
+	}
+	n, t.complete, err = t.scanner.Scan(b)
+	t.recorded = append(t.recorded, b[:n]...)
+	if _, err := t.source.Discard(n); err != nil {
+		return n, false, err
+	}
+	return n, t.complete, err
+}
+
+// Read reads what is recorded of the head, and then one byte. It fails with the error of source.
+func (t *recordingReader) Read(p []byte) (int, error) {
+	if t.served < len(t.recorded) {
+		n := copy(p, t.recorded[t.served:])
+		t.served += n
+		return n, nil
 	}
 	b, err := t.source.ReadByte()
 	if err != nil {
-		t.err = err
+		t.failed = true
 		return 0, err
 	}
 	t.recorded = append(t.recorded, b)
+	t.served++
 	p[0] = b
 	return 1, nil
 }
--- a/palane/lane.go
+++ b/palane/lane.go
@@ -9,11 +9,19 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"papayahead/pabuffer"
 )
 
 const (
 	// maxInput is how many bytes may wait for the server and its handler before reading from the client pauses.
-	maxInput = 64 << 10
+	maxInput = 32 << 10
+	// bodyBuffer is the size of the buffer in which a body is read.
+	bodyBuffer = 16 << 10
+	// connCost and laneCost are what a connection and a lane cost in memory: buffers, the stacks of goroutines, what the system holds of a
+	// connection that is not read, and what is held of an ordinary request.
+	connCost = 12<<10 + 2*receiveBuffer
+	laneCost = 32 << 10
 	// maxBuffered and maxBufferedTotal limit the response bytes that wait for their turn, per connection and in total.
 	// Beyond them requests run only in their turn, so that clients that request many long responses behind a slow one
 	// can't exhaust the VM's memory. The total is about a twentieth of that memory.
@@ -42,18 +50,20 @@
 	wake  *sync.Cond
 	state laneState
 	// closed is set once the server has closed the lane.
-	closed bool
-	input  []byte
-	// inputErr is the error to return after input, if no more follows.
-	inputErr error
+	closed   bool
+	input    []byte
 	buffered int64
+	// claim is what the request has taken of the memory.
+	claim pabuffer.Claim
 	// expired is set once the read deadline has passed. deadlineCount tells the timer of an earlier deadline from the latest.
 	expired       bool
 	deadlineCount int
 	timer         clockwork.Timer
 }
 
-func newLane(c *conn) *Lane { return &Lane{conn: c, wake: sync.NewCond(&c.mutex)} }
+func newLane(c *conn) *Lane {
+	return &Lane{conn: c, wake: sync.NewCond(&c.mutex), claim: pabuffer.Claim{Budget: c.listener.config.Memory}}
+}
 
 // start prepares the lane for a request. The mutex is held.
 func (l *Lane) start() {
@@ -83,27 +93,6 @@
 	return true
 }
 
-// endInput makes the server read err after the remaining input.
-func (l *Lane) endInput(err error) {
-	l.conn.mutex.Lock()
-	defer l.conn.mutex.Unlock()
-	l.inputErr = err
-	l.wake.Broadcast()
-}
-
-// laneWriter is an io.Writer on a lane's input.
-type laneWriter struct{ lane *Lane }
-
-// Write adds bytes to the server's input. It fails with net.ErrClosed if the lane is closed.
-func (f laneWriter) Write(p []byte) (int, error) {
-	if !f.lane.feed(p) {
-		return 0, net.ErrClosed
-	}
-	return len(p), nil
-}
-
-func (l *Lane) inputWriter() io.Writer { return laneWriter{l} }
-
 // Read returns the input of the lane's requests to the server. It blocks between requests and returns io.EOF once the
 // client has disconnected or the lane is retired.
 func (l *Lane) Read(p []byte) (int, error) {
@@ -118,8 +107,6 @@
 			return 0, os.ErrDeadlineExceeded
 		case len(l.input) > 0:
 			return l.consume(p), nil
-		case l.inputErr != nil:
-			return 0, l.inputErr
 		case c.hasDisconnected || l.state == retired:
 			return 0, io.EOF
 		}
@@ -156,6 +143,9 @@
 		return nil
 	}
 	l.closed = true
+	l.input = nil
+	l.claim.Release()
+	c.listener.config.Memory.PutBack(pabuffer.Connections, laneCost)
 	l.wake.Broadcast()
 	if l.timer != nil {
 		l.timer.Stop()
@@ -224,5 +214,11 @@
 	}
 }
 
-// SetWriteDeadline has no effect, because a response may have to wait for its turn.
-func (l *Lane) SetWriteDeadline(time.Time) error { return nil }
+// SetWriteDeadline sets the write deadline of the client connection if its requests are served one after the other. Otherwise it has no
+// effect, because a response may have to wait for its turn.
+func (l *Lane) SetWriteDeadline(t time.Time) error {
+	if !l.conn.listener.config.Serial {
+		return nil
+	}
+	return l.conn.raw.SetWriteDeadline(t)
+}
--- a/palane/listener.go
+++ b/palane/listener.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"papayahead/pabuffer"
 )
 
 // Config configures a Listener.
@@ -23,6 +25,39 @@
 	// MaxConns is how many connections may be open; beyond it unused ones are closed first. Up to MaxRefusing further clients are
 	// each allowed one request, whose lane says that it is Refused. 0 is no bound.
 	MaxConns, MaxRefusing int
+	// Memory is the account of what connections and requests cost; nil is no bound. MaxHead returns how long a request's head may be, in
+	// bytes; a nil function or zero stands for MaxHeaderBytes. LacksMemory is called when there was no room; it may be nil.
+	Memory      *pabuffer.Budget
+	MaxHead     func() int
+	LacksMemory func()
+	// Refuse returns the response to a client whose request is refused before the server gets it; a nil function stands for responses
+	// like the http.Server's own. It closes the connection, and must say so.
+	Refuse func(why Refusal) []byte
+	// Serial says that the requests of a connection are served one after the other, as by an http.Server.
+	Serial bool
+}
+
+// maxHead returns how long the head of a request may be.
+func (l *Listener) maxHead() int {
+	if l.config.MaxHead != nil {
+		if n := l.config.MaxHead(); n > 0 {
+			return min(n, l.config.MaxHeaderBytes)
+		}
+	}
+	return l.config.MaxHeaderBytes
+}
+
+func (l *Listener) lacksMemory() {
+	if l.config.LacksMemory != nil {
+		l.config.LacksMemory()
+	}
+}
+
+func (l *Listener) maxPipelined() int {
+	if l.config.Serial {
+		return 1
+	}
+	return MaxPipelined
 }
 
 // MaxPipelined is the maximum number of requests in flight on one connection.
@@ -63,6 +98,7 @@
 // Run accepts client connections until the base listener fails or is closed, and returns its error. The base listener should fail
 // only when it is closed, as a paport.Listener does.
 func (l *Listener) Run() error {
+	l.boundReceived()
 	for {
 		raw, err := l.config.Base.Accept()
 		if err != nil {
@@ -139,7 +175,9 @@
 	delete(l.conns, c)
 	if c.refused {
 		l.refusing--
+		return
 	}
+	l.config.Memory.PutBack(pabuffer.Connections, connCost)
 }
 
 // TrackState is the ConnState hook of the http.Server: a lane that becomes idle has sent its response.
--- a/palane/room.go
+++ b/palane/room.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"papayahead/pabuffer"
 	"papayahead/pasocket"
 )
 
@@ -26,22 +27,25 @@
 	// closed is how many unused connections were closed, refused how many clients were refused, and dropped how many of them without
 	// a response.
 	closed, refused, dropped uint64
+	// stalled is how many connections were closed whose clients had stopped in the middle of a request.
+	stalled uint64
 	// searchedAt is when the last search for unused connections found none.
 	searchedAt time.Time
 }
 
 // Counts are the connections of a Listener. Closed, Refused and Dropped are totals: unused connections closed for lack of room, clients
-// that were refused, and how many of these got no response.
+// that were refused, and how many of these got no response. Stalled is a total too: connections closed whose clients had stopped in the
+// middle of a request.
 type Counts struct {
-	Open                     int
-	Closed, Refused, Dropped uint64
+	Open                              int
+	Closed, Refused, Dropped, Stalled uint64
 }
 
 // Counts returns the present counts.
 func (l *Listener) Counts() Counts {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return Counts{Open: len(l.conns), Closed: l.room.closed, Refused: l.room.refused, Dropped: l.room.dropped}
+	return Counts{Open: len(l.conns), Closed: l.room.closed, Refused: l.room.refused, Dropped: l.room.dropped, Stalled: l.room.stalled}
 }
 
 // admit returns the client connection on an accepted connection, or nil if there is no room for it, not even to refuse it.
@@ -50,7 +54,7 @@
 	c := newConn(l, raw)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.isFull() {
+	if l.isFull() || !l.config.Memory.Take(pabuffer.Connections, connCost) {
 		l.room.refused++
 		if l.refusing >= l.config.MaxRefusing {
 			l.room.dropped++
@@ -75,14 +79,14 @@
 	l.mutex.Lock()
 	search := l.isFull() && now.Sub(l.room.searchedAt) >= searchInterval
 	l.mutex.Unlock()
-	if search {
-		l.CloseUnused(max(1, l.config.MaxConns/roomDivisor))
+	if search && l.CloseUnused(max(1, l.config.MaxConns/roomDivisor)) == 0 {
+		l.CloseStalled(max(1, l.config.MaxConns/roomDivisor))
 	}
 }
 
 // CloseUnused closes up to n connections without a request in flight or arriving, those first that have been so for longest. It frees
-// their descriptors at once.
-func (l *Listener) CloseUnused(n int) {
+// their descriptors at once, and returns how many it closed.
+func (l *Listener) CloseUnused(n int) (closed int) {
 	now := l.config.Clock.Now()
 	type unused struct {
 		conn  *conn
@@ -95,7 +99,6 @@
 		}
 	}
 	slices.SortFunc(all, func(a, b unused) int { return cmp.Compare(a.since.UnixNano(), b.since.UnixNano()) })
-	closed := 0
 	for _, u := range all {
 		if closed == n {
 			break
@@ -111,6 +114,7 @@
 	if closed == 0 {
 		l.room.searchedAt = now
 	}
+	return closed
 }
 
 // unused returns since when the connection has had no request in flight or arriving, and whether it may be closed for lack of room.
@@ -138,6 +142,3 @@
 	c.raw.Close()
 	return true
 }
-
-// Refused reports whether there is no room for the connection, so that its request is to be refused. It carries no other.
-func (l *Lane) Refused() bool { return l != nil && l.conn.refused }
--- a/papayahead/gate.go
+++ b/papayahead/gate.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"runtime/debug"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -38,6 +39,8 @@
 	// maxIdleStoreConns is the number of idle connections to the store to keep: one for the watch of all keys, one for that of the
 	// operators' keys, and one for other calls.
 	maxIdleStoreConns = 3
+	// maxStoreHeader bounds the head of a response of the platform's services, in bytes.
+	maxStoreHeader = 64 << 10
 	// fileDescriptors is how many of the process's descriptors are kept for files; maxDescriptors is more than any process uses.
 	fileDescriptors = 200
 	maxDescriptors  = 1 << 20
@@ -85,6 +88,7 @@
 		return err
 	}
 	set.Sockets = availableSockets(set.Sockets)
+	limitMemory(&set)
 	network := gateNetwork{}
 	storeTraffic := &pasocket.Traffic{}
 	dialStore := func(ctx context.Context, kind, address string) (net.Conn, error) {
@@ -100,7 +104,9 @@
 		Registry: &platform.Registry{
 			Store: &platform.StoreClient{
 				BaseURL: "http://" + set.Store, Caller: paplatform.Caller(set.Name), Clock: clock,
-				Transport: &http.Transport{DialContext: dialStore, MaxIdleConnsPerHost: maxIdleStoreConns},
+				Transport: &http.Transport{
+					DialContext: dialStore, MaxIdleConnsPerHost: maxIdleStoreConns, MaxResponseHeaderBytes: maxStoreHeader,
+				},
 			},
 			OnUnreadable: func(key string, err error) {
 				recorder.Record(paevent.ValueUnreadable{Key: key, Reason: err.Error()})
@@ -153,23 +159,44 @@
 // serveMetrics serves the gate's metrics. If it can't listen or serve, it records the failure and the gate
 // runs without metrics.
 func serveMetrics(s pagate.Settings, g *pagate.Gate, clock clockwork.Clock, recorder *paevent.Recorder) {
-	l, err := net.Listen("tcp", netip.AddrPortFrom(s.Front.Addr(), metricsPort).String())
+	l, err := gateNetwork{}.Listen(netip.AddrPortFrom(s.Front.Addr(), metricsPort))
 	if err != nil {
 		recorder.Record(paevent.ListenerFailed{Reason: err.Error()})
 		return
 	}
-	server := &http.Server{
-		Handler:           http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { g.WriteMetrics(w) }),
-		ReadHeaderTimeout: time.Second,
-	}
 	lasting := paport.NewListener(paport.Config{Base: l, Clock: clock, OnError: g.CountAcceptError})
 	go func() {
-		if err := server.Serve(lasting); err != nil {
+		if err := g.ServeMetrics(lasting); err != nil {
 			recorder.Record(paevent.ListenerFailed{Reason: err.Error()})
 		}
 	}()
 }
 
+// limitMemory sets the memory limit of a gate to that of the VM, if its settings have none, and has the runtime keep to it. Garbage
+// collection then runs more often before the limit is reached, and as usual far from it.
+func limitMemory(s *pagate.Settings) {
+	if s.MemoryMB == 0 {
+		s.MemoryMB = float64(memoryOfVM()) / bytesPerMB
+	}
+	debug.SetMemoryLimit(int64(s.MemoryMB * bytesPerMB * heapPart))
+}
+
+const (
+	bytesPerMB = 1 << 20
+	// heapPart is the part of the memory limit that the runtime may use: the rest is for the program itself, and for what the system
+	// has received on connections.
+	heapPart = 0.7
+)
+
+// memoryOfVM returns the memory of the VM in bytes; 0 if the system does not say.
+func memoryOfVM() uint64 {
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return 0
+	}
+	return uint64(info.Totalram) * uint64(info.Unit)
+}
+
 // gateNetwork opens TCP connections that detect an unresponsive peer.
 type gateNetwork struct{}
 
--- a/paport/listener.go
+++ b/paport/listener.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -102,3 +103,11 @@
 
 // Addr returns the address of the base listener.
 func (l *Listener) Addr() net.Addr { return l.config.Base.Addr() }
+
+// SyscallConn returns access to the socket of the base listener, if it has one.
+func (l *Listener) SyscallConn() (syscall.RawConn, error) {
+	if s, ok := l.config.Base.(syscall.Conn); ok {
+		return s.SyscallConn()
+	}
+	return nil, errors.ErrUnsupported
+}
