paconn, pahead: an answer whose status or whose names of fields are none is no answer; heads of answers take from the account

Why this works: the one reader of answers, for targets, relays and senders, scans a head before net/http parses it (RFC 9112, 5.1 and 5.2; RFC 9110, 5.1 and 15): status 100 to 599, names that are tokens, no name lost in a folded line, no byte that ends a value early. It gives net/http no byte beyond the head, so that each head is scanned. A folded value is read as before (pagate's cut_test has one).

--- a/paconn/conn.go
+++ b/paconn/conn.go
@@ -17,8 +17,8 @@
 type Conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// head bounds what reader reads of the head of a response.
-	head    *headBound
+	// head bounds and checks what reader reads of the head of a response.
+	head    *headReader
 	address netip.AddrPort
 	target  string
 	born    int64
@@ -86,7 +86,7 @@
 }
 
 // HasUnread reports whether bytes have arrived that nobody has read.
-func (c *Conn) HasUnread() bool { return c.reader.Buffered() > 0 }
+func (c *Conn) HasUnread() bool { return c.reader.Buffered() > 0 || len(c.head.rest) > 0 }
 
 // RemembersAll reports whether the connection remembers all requests that it has carried and that may be sent again. If not, it must
 // carry no other.
@@ -95,5 +95,5 @@
 // isQuiet reports whether nothing has arrived on the idle connection, neither bytes nor EOF. Bytes after a complete
 // response belong to no request, and would be taken for the next response.
 func (c *Conn) isQuiet() bool {
-	return c.reader.Buffered() == 0 && pasocket.NothingToRead(c.Conn)
+	return !c.HasUnread() && pasocket.NothingToRead(c.Conn)
 }
--- a/paconn/pool.go
+++ b/paconn/pool.go
@@ -118,7 +118,7 @@
 		return nil, trace.ConnectionProblem(err, "connect to target")
 	}
 	p.config.Room.open.Add(1)
-	head := &headBound{Reader: raw}
+	head := &headReader{conn: raw}
 	return &Conn{
 		Conn: raw, reader: bufio.NewReaderSize(head, connBufferSize), head: head, address: address, target: target, born: born,
 		idleLimit: MaxIdle, Opened: p.config.Clock.Now(), room: p.config.Room,
--- a/pagate/front.go
+++ b/pagate/front.go
@@ -82,19 +82,27 @@
 	lane *palane.Lane
 	returning
 	// hold is what the bodies of the request and of its responses hold in memory.
-	hold         pabuffer.Hold
+	hold pabuffer.Hold
+	// heads is what the heads of its responses hold.
+	heads        pabuffer.Claim
 	pipelineWait time.Duration
 }
 
 // inline reports whether the request is small enough to be written before its response is awaited.
 func (x *exchange) inline() bool { return x.unbuffered == nil && len(x.buffered) <= maxInlineWrite }
 
+// release returns what the request holds in memory.
+func (x *exchange) release() {
+	x.hold.Release()
+	x.heads.Release()
+}
+
 // serveClient handles one client request.
 func (g *Gate) serveClient(w http.ResponseWriter, r *http.Request) {
 	g.inFlight.Add(1)
 	defer g.inFlight.Add(-1)
 	x := g.newExchange(r)
-	defer x.hold.Release()
+	defer x.release()
 	if x.lane.Refused() {
 		w.Header().Set("Connection", "close")
 		x.unread = r.ContentLength != 0
@@ -155,6 +163,7 @@
 		id: r.Header.Get(g.config.Headers.RequestID), method: r.Method, uri: r.RequestURI, host: r.Host,
 		header: paheader.EndToEnd(r.Header), size: r.ContentLength, arrived: g.config.Clock.Now(),
 		clientCtx: r.Context(), lane: palane.FromContext(r.Context()), hold: pabuffer.Hold{Budget: &g.memory.budget},
+		heads: pabuffer.Claim{Budget: &g.memory.budget},
 	}
 	x.header.Del(relayHeader)
 	if c, err := r.Cookie(g.config.Headers.ObjectCookie); err == nil {
--- a/pagate/relayed.go
+++ b/pagate/relayed.go
@@ -36,7 +36,7 @@
 	g.relayedInFlight.Add(1)
 	defer g.relayedInFlight.Add(-1)
 	x := g.newExchange(r)
-	defer x.hold.Release()
+	defer x.release()
 	x.direct = true
 	x.relayed = &relayCall{}
 	if x.lane.Refused() {
--- a/pagate/response.go
+++ b/pagate/response.go
@@ -25,7 +25,7 @@
 func (a *attempt) readResponse(r *http.Request) (*http.Response, error) {
 	names := a.gate.config.Headers
 	for range maxStrayAnswers {
-		response, err := a.conn.ReadHead(r)
+		response, err := a.conn.ReadHead(r, &a.x.heads)
 		if err != nil {
 			return nil, err
 		}
@@ -37,7 +37,7 @@
 			return response, nil
 		}
 		a.gate.meter.strayAnswers(a.strayKind(id)).Inc()
-		if response.ContentLength < 0 && len(response.TransferEncoding) == 0 {
+		if paheader.IsUnframed(response) {
 			return nil, errStray
 		}
 		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxBuffered)); err != nil || n == maxBuffered {
@@ -208,7 +208,7 @@
 		return endUnwritten
 	case response.Close:
 		return endByTarget
-	case response.ContentLength < 0 && len(response.TransferEncoding) == 0:
+	case paheader.IsUnframed(response):
 		return endUnframed
 	case a.conn.HasUnread():
 		return endStray
--- a/pahead/scanner.go
+++ b/pahead/scanner.go
@@ -9,8 +9,9 @@
 	// ErrName means that a line of a head has no name, or one that is no token (RFC 9110, section 5.1), such as one with a blank before
 	// its colon. Lenient parsers disagree on what such a line says.
 	ErrName = errors.New("the name of a header field is no token")
-	// ErrFolded means that a line of a head begins with a blank: it continues the line before it (RFC 9112, section 5.2).
-	ErrFolded = errors.New("a line of a head continues the one before it")
+	// ErrFolded means that the first line with a field begins with a blank, or that one does that has a name: a line that begins with a
+	// blank continues the one before it (RFC 9112, section 5.2), and a name would be lost in its value.
+	ErrFolded = errors.New("a line with a field begins with a blank")
 	// ErrValue means that a value has a byte that ends it for some parsers: NUL, or CR without LF.
 	ErrValue = errors.New("the value of a header field has a control byte")
 	// ErrStart means that the first line is no request line.
@@ -57,6 +58,9 @@
 	atLineStart
 	inName
 	inValue
+	// afterBlank is after a blank at the beginning of a line, and inFolded in what may be a name there.
+	afterBlank
+	inFolded
 	// afterCR is after a CR at the beginning of a line.
 	afterCR
 	ended
@@ -106,6 +110,8 @@
 		return s.scanLineStart(b[0])
 	case inName:
 		return s.scanName(b)
+	case afterBlank, inFolded:
+		return s.scanFolded(b[0])
 	case afterCR:
 		if b[0] != '\n' {
 			return 1, ErrName
@@ -167,10 +173,10 @@
 	case b == '\r':
 		s.state = afterCR
 	case b == ' ' || b == '\t':
-		if !s.Request || s.Lines == 1 {
+		if s.Lines == 1 {
 			return 1, ErrFolded
 		}
-		s.state = inValue
+		s.state = afterBlank
 	case isToken[b]:
 		s.state = inName
 	default:
@@ -192,6 +198,22 @@
 	return len(b), nil
 }
 
+// scanFolded scans the beginning of a line that begins with a blank. What it continues is not to have a name in it, in a response: the
+// target meant a field.
+func (s *Scanner) scanFolded(b byte) (int, error) {
+	switch {
+	case b == ':' && s.state == inFolded && !s.Request:
+		return 1, ErrFolded
+	case isToken[b]:
+		s.state = inFolded
+		return 1, nil
+	case (b == ' ' || b == '\t') && s.state == afterBlank:
+		return 1, nil
+	}
+	s.state = inValue
+	return s.scanValue([]byte{b})
+}
+
 // scanValue scans a value up to the end of its line.
 func (s *Scanner) scanValue(b []byte) (int, error) {
 	for i, c := range b {
