paconn, pasocket: an answer without a length is whole only if its connection ended in order, whoever gets the error of a reset

Cause: a system reports a reset once. The goroutine that writes the upload got the error, and the one that reads found an ordinary end. Why this works: the connection notes its writes. An end that was read is a FIN if no write has failed or is in progress: nobody else can have got an error. Otherwise the system is asked for the state of the socket: CLOSE_WAIT is a FIN that no reset followed; anything else is no proof, and the answer is incomplete. So a whole answer that ends in order beside an upload still is one. All readers of answers over paconn have it: targets, senders, both ends of relays. paproxy refuses answers without a length anyway.

--- a/paconn/conn.go
+++ b/paconn/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"papayahead/pasocket"
@@ -18,10 +19,13 @@
 	net.Conn
 	reader *bufio.Reader
 	// head bounds and checks what reader reads of the head of a response.
-	head    *headReader
-	address netip.AddrPort
-	target  string
-	born    int64
+	head *headReader
+	// writing is how many writes are in progress, writeFailed whether one has failed.
+	writing     atomic.Int32
+	writeFailed atomic.Bool
+	address     netip.AddrPort
+	target      string
+	born        int64
 	// Opened is when the connection was opened.
 	Opened time.Time
 	// lastUsed is when it last became idle.
--- a/paconn/head.go
+++ b/paconn/head.go
@@ -101,6 +101,9 @@
 	case paheader.HasTwoHeads(response):
 		return nil, ErrTwoHeads
 	}
+	if response.Body != http.NoBody && paheader.IsUnframed(response) {
+		response.Body = &unframedBody{response.Body, c}
+	}
 	return response, nil
 }
 
