paentry, paproxy, pawire: the other daemon, and the ports for entry VMs, take from the account of the memory

Cause: net/http parsed heads of 64 KB of short lines without a sum over the process, at any number of connections; drpc holds a message until its last frame, up to 4 MB each; nothing told the runtime a limit; the head of a response of the store could have 10 MB. What the system may receive counts in the account, and the runtime's limit is lowered by it. A target's head is scanned here too (pahead.Reader), and a status that is none is no answer. The reader drops the claim at the end of a head.

--- a/pabuffer/budget.go
+++ b/pabuffer/budget.go
@@ -26,6 +26,8 @@
 	Bodies
 	// Messages are messages between entry VMs that have not arrived whole.
 	Messages
+	// Received is what the system may hold of connections that are not read. It has no bound of its own.
+	Received
 	parts
 )
 
@@ -36,10 +38,16 @@
 // Budget is the account of a process's memory: how many bytes it may hold at a time for its clients and their requests. The zero value
 // has no bound, nor has a nil one. It is safe for concurrent use.
 type Budget struct {
+	// OnReceived is called when what is taken for Received has changed by much, with the bytes; it may be nil. It is set before the first
+	// use, and may be called on several goroutines at once.
+	OnReceived func(bytes int64)
+
 	limit, partLimit int64
-	held             atomic.Int64
-	parts            [parts]atomic.Int64
-	refused          atomic.Uint64
+	// noted is what OnReceived was last called with.
+	noted   atomic.Int64
+	held    atomic.Int64
+	parts   [parts]atomic.Int64
+	refused atomic.Uint64
 }
 
 // SetMemory sets the budget by the memory limit of the process in megabytes; 0 is no bound. It is called before the first use.
@@ -68,13 +76,23 @@
 	most := int64(0)
 	if b.IsBounded() {
 		most = b.partLimit
-		if p == Connections {
+		if p == Connections || p == Received {
 			most = b.limit
 		}
 	}
 	return b.takeUpTo(p, n, most)
 }
 
+// noteReceivedDivisor is the divisor of the bound that yields by how much Received changes before OnReceived is called.
+const noteReceivedDivisor = 16
+
+func (b *Budget) noteReceived() {
+	now, last := b.parts[Received].Load(), b.noted.Load()
+	if b.OnReceived != nil && max(now-last, last-now) > b.limit/noteReceivedDivisor && b.noted.CompareAndSwap(last, now) {
+		b.OnReceived(now)
+	}
+}
+
 // takeUpTo is Take with a bound of the part; 0 is none.
 func (b *Budget) takeUpTo(p Part, n, most int64) bool {
 	if b == nil {
@@ -90,6 +108,9 @@
 		b.refused.Add(1)
 		return false
 	}
+	if p == Received {
+		b.noteReceived()
+	}
 	return true
 }
 
@@ -100,6 +121,9 @@
 	}
 	b.parts[p].Add(-n)
 	b.held.Add(-n)
+	if p == Received {
+		b.noteReceived()
+	}
 }
 
 // take takes bytes for a body of a priority, 0 the most urgent, and reports whether there were as many.
--- a/paconn/conn.go
+++ b/paconn/conn.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"papayahead/pahead"
 	"papayahead/pasocket"
 )
 
@@ -19,7 +20,7 @@
 	net.Conn
 	reader *bufio.Reader
 	// head bounds and checks what reader reads of the head of a response.
-	head *headReader
+	head *pahead.Reader
 	// writing is how many writes are in progress, writeFailed whether one has failed.
 	writing     atomic.Int32
 	writeFailed atomic.Bool
@@ -90,7 +91,7 @@
 }
 
 // HasUnread reports whether bytes have arrived that nobody has read.
-func (c *Conn) HasUnread() bool { return c.reader.Buffered() > 0 || len(c.head.rest) > 0 }
+func (c *Conn) HasUnread() bool { return c.reader.Buffered() > 0 || c.head.HasRest() }
 
 // RemembersAll reports whether the connection remembers all requests that it has carried and that may be sent again. If not, it must
 // carry no other.
--- a/paconn/head_test.go
+++ b/paconn/head_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"papayahead/pabuffer"
+	"papayahead/pahead"
 )
 
 // connected returns a connection to a target, and the target's end of it.
@@ -29,7 +30,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { target.Close() })
-	c := &Conn{Conn: client, head: &headReader{conn: client}, room: &Room{}}
+	c := &Conn{Conn: client, head: &pahead.Reader{Source: client}, room: &Room{}}
 	c.reader = bufio.NewReaderSize(c.head, connBufferSize)
 	return c, target.(*net.TCPConn)
 }
@@ -50,7 +51,7 @@
 			status int
 			body   string
 		}{{100, ""}, {200, "one"}, {201, "two"}} {
-			r, err := c.ReadHead(&http.Request{Method: http.MethodGet}, &pabuffer.Claim{})
+			r, err := c.ReadHead(&http.Request{Method: http.MethodGet}, &pabuffer.Claim{}) //nolint:bodyclose // It has nothing to close.
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -77,8 +78,8 @@
 			_, err = io.WriteString(target, "a:\r\nb:\r\nc:\r\n")
 		}
 	}()
-	_, err := c.ReadHead(&http.Request{Method: http.MethodGet}, &claim)
-	if !errors.Is(err, ErrNoMemory) || budget.Held() == 0 {
+	_, err := c.ReadHead(&http.Request{Method: http.MethodGet}, &claim) //nolint:bodyclose // It fails.
+	if !errors.Is(err, pahead.ErrNoMemory) || budget.Held() == 0 {
 		t.Errorf("%v, %d bytes held", err, budget.Held())
 	}
 	if claim.Release(); budget.Held() != 0 {
--- a/paconn/pool.go
+++ b/paconn/pool.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"papayahead/paclock"
+	"papayahead/pahead"
 )
 
 const (
@@ -118,7 +119,7 @@
 		return nil, trace.ConnectionProblem(err, "connect to target")
 	}
 	p.config.Room.open.Add(1)
-	head := &headReader{conn: raw}
+	head := &pahead.Reader{Source: raw}
 	return &Conn{
 		Conn: raw, reader: bufio.NewReaderSize(head, connBufferSize), head: head, address: address, target: target, born: born,
 		idleLimit: MaxIdle, Opened: p.config.Clock.Now(), room: p.config.Room,
--- a/paconn/unframed_test.go
+++ b/paconn/unframed_test.go
@@ -40,7 +40,7 @@
 			t.Fatal(err)
 		}
 		send(t, c, "some of the upload")
-		target.Close()
+		_ = target.Close()
 		if first == "writer" {
 			for begun := time.Now(); time.Since(begun) < 5*time.Second; time.Sleep(time.Millisecond) {
 				if _, err := c.Write([]byte("more of it")); err != nil {
@@ -73,7 +73,7 @@
 		}
 		go func() {
 			time.Sleep(time.Millisecond)
-			target.Close()
+			_ = target.Close()
 		}()
 		body, err := readBody(t, c)
 		if err == nil {
--- a/pacrowd/process_test.go
+++ b/pacrowd/process_test.go
@@ -45,7 +45,7 @@
 	code := m.Run()
 	if *runCrowds {
 		if folder, err := commands(); err == nil {
-			os.RemoveAll(folder)
+			_ = os.RemoveAll(folder)
 		}
 	}
 	os.Exit(code)
--- a/paentry/config.go
+++ b/paentry/config.go
@@ -36,6 +36,8 @@
 	VMList   paplatform.VMList
 	Network  Network
 	Recorder *paevent.Recorder
+	// OnReceived is called when what the system may hold of unread connections has changed by much, with the bytes; it may be nil.
+	OnReceived func(bytes int64)
 }
 
 // TCP is the Network of the operating system.
--- a/paentry/daemon.go
+++ b/paentry/daemon.go
@@ -13,10 +13,12 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
+	"papayahead/pabuffer"
 	"papayahead/pabundle"
 	"papayahead/paclock"
 	"papayahead/pacontrol"
 	"papayahead/paevent"
+	"papayahead/palane"
 	"papayahead/pamember"
 	"papayahead/paowner"
 	"papayahead/paport"
@@ -47,6 +49,9 @@
 	// waiting are the requests that may get a placement; only the control goroutine uses it.
 	waiting map[paowner.RequestID]*pendingRequest
 
+	// memory is the account of what clients, their requests, and messages of other daemons cost.
+	memory pabuffer.Budget
+
 	listeners  listeners
 	tasks      sync.WaitGroup
 	tasksMutex sync.Mutex
@@ -56,6 +61,9 @@
 // listeners holds the listening sockets; a nil one is not open.
 type listeners struct{ callers, peers, operators net.Listener }
 
+// bytesPerMB is a megabyte in bytes.
+const bytesPerMB = 1 << 20
+
 // New returns a Daemon; Run opens its ports. It fails if the control state refuses the settings.
 func New(c Config) (*Daemon, error) {
 	s := c.Settings
@@ -91,7 +99,9 @@
 		Random: rand.New(rand.NewPCG(c.Random.Uint64(), c.Random.Uint64())),
 		OnHead: func(h pabundle.Head) { d.post(pacontrol.HeadFound{Head: h}) },
 	}
-	d.targets = &paproxy.TargetClient{Dial: c.Network.Dial, Clock: c.Clock, Events: c.Recorder, Stamps: &c.Recorder.Stamps}
+	d.targets = &paproxy.TargetClient{Dial: c.Network.Dial, Clock: c.Clock, Events: c.Recorder, Stamps: &c.Recorder.Stamps, Memory: &d.memory}
+	d.memory.OnReceived = c.OnReceived
+	d.memory.SetMemory(float64(s.MaxMemory) / bytesPerMB)
 	d.front = d.newFront()
 	return d, nil
 }
@@ -150,13 +160,14 @@
 
 // serve starts the daemon's goroutines; they return when ctx is cancelled.
 func (d *Daemon) serve(ctx context.Context) {
+	s := d.config.Settings
 	go d.runControl(ctx)
 	d.spawn(func() { d.pollVMList(ctx) })
 	d.spawn(func() { d.heads.Run(ctx) })
 	d.spawn(func() { d.servePeers(ctx) })
 	d.spawn(func() { d.reportCPU(ctx) })
-	d.spawn(func() { d.serveHTTP(ctx, d.listeners.callers, d.callersHandler()) })
-	d.spawn(func() { d.serveHTTP(ctx, d.listeners.operators, d.operatorsHandler()) })
+	d.spawn(func() { d.serveHTTP(ctx, d.listeners.callers, s.MaxConnections, d.callersHandler()) })
+	d.spawn(func() { d.serveHTTP(ctx, d.listeners.operators, maxOperatorConns, d.operatorsHandler()) })
 }
 
 // endTasks keeps further tasks from starting and waits for the running ones.
@@ -185,24 +196,51 @@
 
 // serveHTTP serves until ctx is cancelled, then shuts the server down, which waits until responses in
 // progress are written: net/http may still buffer the end of a response after its handler returned.
-func (d *Daemon) serveHTTP(ctx context.Context, l net.Listener, h http.Handler) {
-	server := paproxy.Limits{}.Server(d.closeWhenDraining(h))
+func (d *Daemon) serveHTTP(ctx context.Context, l net.Listener, maxConns int, h http.Handler) {
+	server := d.newServer(l, maxConns, h)
+	defer server.Close()
 	flushed := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(flushed)
 		limit, cancel := paclock.WithTimeout(context.WithoutCancel(ctx), d.config.Clock, flushTimeout)
 		defer cancel()
-		if server.Shutdown(limit) != nil {
-			server.Close()
+		if server.HTTP.Shutdown(limit) != nil {
+			server.HTTP.Close()
 		}
 	})
-	// Serve returns only once the server or its listener, which fails at nothing else, is closed, on shutdown.
-	_ = server.Serve(paproxy.NewFramingListener(l))
+	d.spawn(func() { d.closeIdle(ctx, server) })
+	// Both return only once the server or its listener, which fails at nothing else, is closed, on shutdown.
+	_ = server.Run()
 	if !stop() {
 		<-flushed
 	}
 }
 
+// newServer returns the server of a port for HTTP, whose connections and requests take from the account of the memory.
+func (d *Daemon) newServer(l net.Listener, maxConns int, h http.Handler) *palane.Server {
+	var server *palane.Server
+	server = palane.NewServer(palane.Config{
+		Base: l, Clock: d.config.Clock, MaxHeaderBytes: paproxy.DefaultMaxHeader, MaxConns: maxConns, Memory: &d.memory, Serial: true,
+		HeaderTimeout: func() time.Duration { return paproxy.DefaultHeaderTimeout },
+		LacksMemory:   func() { server.MakeRoom() }, Refuse: paproxy.RefuseUnread,
+	}, d.closeWhenDraining(h))
+	return server
+}
+
+// closeIdle closes connections that have been idle for too long, until ctx is cancelled.
+func (d *Daemon) closeIdle(ctx context.Context, s *palane.Server) {
+	for sleep(ctx, d.config.Clock, idleCheckInterval) {
+		s.CloseIdle(d.config.Clock.Now(), paproxy.DefaultIdleTimeout)
+	}
+}
+
+const (
+	// idleCheckInterval is the time between two searches for idle connections.
+	idleCheckInterval = time.Second
+	// maxOperatorConns bounds the connections of operators and of what collects metrics.
+	maxOperatorConns = 256
+)
+
 // flushTimeout bounds how long net/http may take to write buffered responses after the last request has ended.
 const flushTimeout = 2 * time.Second
 
--- a/paentry/peers.go
+++ b/paentry/peers.go
@@ -169,7 +169,7 @@
 	}
 	server := paproxy.PeerServer{Handler: mux}
 	// Serve returns only once ctx is cancelled, which closes the listener: that fails at nothing else.
-	_ = server.Serve(ctx, d.listeners.peers)
+	_ = server.Serve(ctx, pawire.NewBoundListener(d.listeners.peers, &d.memory))
 }
 
 // peerServer implements the DRPC services that peers calls on other daemons.
--- a/paentry/platform.go
+++ b/paentry/platform.go
@@ -82,7 +82,7 @@
 	// drainingState is the State of a target that is about to stop, failingState that of a broken one.
 	drainingState = "Draining"
 	failingState  = "Failing"
-	// maxHealthReport bounds the bytes that are read of a health report.
+	// maxHealthReport bounds the bytes that are read of a health report, and of its head.
 	maxHealthReport = 64 << 10
 )
 
@@ -91,7 +91,7 @@
 
 // readHealth returns the State that a target reports, and whether it answered 200 and is not failing.
 func (d *Daemon) readHealth(ctx context.Context, p pacontrol.Probe) (state string, ok bool) {
-	t := &http.Transport{DialContext: d.config.Network.Dial, DisableKeepAlives: true}
+	t := &http.Transport{DialContext: d.config.Network.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHealthReport}
 	defer t.CloseIdleConnections()
 	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.Address.String()+TargetHealthPath, nil)
 	if err != nil {
--- a/pagate/buffer.go
+++ b/pagate/buffer.go
@@ -27,7 +27,7 @@
 	}
 	b, err := x.hold.Read(body, maxBuffered)
 	if errors.Is(err, pabuffer.ErrUsedUp) {
-		g.closeStalled()
+		g.makeRoom()
 	}
 	return b, err
 }
--- a/pagate/config.go
+++ b/pagate/config.go
@@ -152,6 +152,8 @@
 	Off pasteer.Off
 	// StoreTraffic counts the bytes of the connections to the store; it may be nil.
 	StoreTraffic *pasocket.Traffic
+	// OnReceived is called when what the system may hold of unread connections has changed by much, with the bytes; it may be nil.
+	OnReceived func(bytes int64)
 	// Version is the program's version, for the log.
 	Version string
 }
--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -126,6 +126,7 @@
 			Contended: s.Contended, Off: c.Off,
 		}),
 	}
+	g.memory.budget.OnReceived = c.OnReceived
 	g.memory.budget.SetMemory(s.MemoryMB)
 	g.ports.set(c)
 	g.requestsCtx, g.cancelRequests = context.WithCancel(context.Background())
--- a/pagate/memory.go
+++ b/pagate/memory.go
@@ -5,7 +5,6 @@
 	"slices"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"papayahead/pabuffer"
@@ -18,10 +17,6 @@
 	reasonNoMemory = "NoMemory"
 	// retryAfterNoMemory applies then: what others hold comes back within a run, or as soon as they stop.
 	retryAfterNoMemory = 300 * time.Millisecond
-	// stalledInterval is the time between two searches for clients that have stopped in the middle of a request, and stalledAtOnce how
-	// many of them are closed at most.
-	stalledInterval = 20 * time.Millisecond
-	stalledAtOnce   = 64
 )
 
 // memory bounds what clients and their requests cost the process.
@@ -31,8 +26,6 @@
 	// servers are those of all ports for HTTP.
 	mutex   sync.Mutex
 	servers []*palane.Server
-	// searchedAt is when clients that have stopped were last looked for, in Unix nanoseconds.
-	searchedAt atomic.Int64
 }
 
 // laneConfig returns the configuration of a port for HTTP.
@@ -41,7 +34,7 @@
 		Base: g.ports.listeners[p], Clock: g.config.Clock, MaxHeaderBytes: maxHeader, MaxConns: maxConns, Memory: &g.memory.budget,
 		HeaderTimeout: func() time.Duration { return g.clientLimits().HeaderTimeout },
 		MaxHead:       func() int { return g.clientLimits().MaxHeader },
-		LacksMemory:   g.closeStalled, Refuse: g.refuseUnread,
+		LacksMemory:   g.makeRoom, Refuse: g.refuseUnread,
 	}
 }
 
@@ -75,19 +68,10 @@
 	}
 }
 
-// closeStalled closes some connections without a request, and some whose clients have stopped in the middle of one, as there is no memory
-// for others. They would hold theirs until their timeouts, and a crowd of them would keep all other clients out.
-func (g *Gate) closeStalled() {
-	now, last := g.config.Clock.Now().UnixNano(), g.memory.searchedAt.Load()
-	if now-last < int64(stalledInterval) || !g.memory.searchedAt.CompareAndSwap(last, now) {
-		return
-	}
-	left := stalledAtOnce
+// makeRoom closes connections that hold memory without a request in progress, as there is none for others.
+func (g *Gate) makeRoom() {
 	for _, s := range g.memory.all() {
-		if s.Listener == g.clientListener {
-			s.CloseUnused(stalledAtOnce)
-		}
-		left -= s.CloseStalled(left)
+		s.MakeRoom()
 	}
 }
 
--- a/pahead/scanner.go
+++ b/pahead/scanner.go
@@ -74,6 +74,9 @@
 	return len(name) < maxStart && s.length > len(name) && string(s.start[:len(name)]) == name && s.start[len(name)] == ' '
 }
 
+// isInterim reports whether the head is that of an interim response.
+func (s *Scanner) isInterim() bool { return s.length > len(version) && s.start[len(version)+1] == '1' }
+
 // Scan scans the next bytes up to the end of the head. It returns how many of them belong to the head, and whether it has ended.
 func (s *Scanner) Scan(b []byte) (n int, done bool, err error) {
 	for n < len(b) && s.state != ended {
--- a/palane/lane.go
+++ b/palane/lane.go
@@ -18,9 +18,9 @@
 	maxInput = 32 << 10
 	// bodyBuffer is the size of the buffer in which a body is read.
 	bodyBuffer = 16 << 10
-	// connCost and laneCost are what a connection and a lane cost in memory: buffers, the stacks of goroutines, what the system holds of a
-	// connection that is not read, and what is held of an ordinary request.
-	connCost = 12<<10 + 2*receiveBuffer
+	// connCost and laneCost are what a connection and a lane cost in memory: buffers, the stacks of goroutines, and what is held of an
+	// ordinary request.
+	connCost = 12 << 10
 	laneCost = 32 << 10
 	// maxBuffered and maxBufferedTotal limit the response bytes that wait for their turn, per connection and in total.
 	// Beyond them requests run only in their turn, so that clients that request many long responses behind a slow one
--- a/palane/listener.go
+++ b/palane/listener.go
@@ -77,6 +77,8 @@
 	cancel context.CancelFunc
 	// buffered is the number of response bytes that wait for their turn on all connections.
 	buffered atomic.Int64
+	// madeRoomAt is when MakeRoom last looked for connections to close, in Unix nanoseconds.
+	madeRoomAt atomic.Int64
 
 	mutex sync.Mutex
 	conns map[*conn]struct{}
@@ -177,7 +179,7 @@
 		l.refusing--
 		return
 	}
-	l.config.Memory.PutBack(pabuffer.Connections, connCost)
+	l.putBackConn()
 }
 
 // TrackState is the ConnState hook of the http.Server: a lane that becomes idle has sent its response.
--- a/palane/receive.go
+++ b/palane/receive.go
@@ -15,6 +15,24 @@
 	longBody = 64 << 10
 )
 
+// takeConn takes what a connection costs, and reports whether there was room.
+func (l *Listener) takeConn() bool {
+	memory := l.config.Memory
+	if !memory.Take(pabuffer.Connections, connCost) {
+		return false
+	}
+	if !memory.Take(pabuffer.Received, 2*receiveBuffer) {
+		memory.PutBack(pabuffer.Connections, connCost)
+		return false
+	}
+	return true
+}
+
+func (l *Listener) putBackConn() {
+	l.config.Memory.PutBack(pabuffer.Connections, connCost)
+	l.config.Memory.PutBack(pabuffer.Received, 2*receiveBuffer)
+}
+
 // boundReceived has the system receive little on each connection of the Listener.
 func (l *Listener) boundReceived() {
 	if l.config.Memory.IsBounded() {
@@ -31,7 +49,7 @@
 	raw, ok := c.raw.(interface{ SetReadBuffer(bytes int) error })
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	if ok && lane.state == active && lane.claim.Take(pabuffer.Bodies, 2*wideBuffer) {
+	if ok && lane.state == active && lane.claim.Take(pabuffer.Received, 2*wideBuffer) {
 		_ = raw.SetReadBuffer(wideBuffer) // Without it the body takes longer.
 	}
 }
--- a/palane/room.go
+++ b/palane/room.go
@@ -6,7 +6,6 @@
 	"slices"
 	"time"
 
-	"papayahead/pabuffer"
 	"papayahead/pasocket"
 )
 
@@ -54,7 +53,7 @@
 	c := newConn(l, raw)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.isFull() || !l.config.Memory.Take(pabuffer.Connections, connCost) {
+	if l.isFull() || !l.takeConn() {
 		l.room.refused++
 		if l.refusing >= l.config.MaxRefusing {
 			l.room.dropped++
--- a/palane/server.go
+++ b/palane/server.go
@@ -27,6 +27,7 @@
 // Close ends the server and closes all connections.
 func (s *Server) Close() {
 	s.HTTP.Close()
-	s.Listener.Close()
+	// The error does not matter: the base listener may be closed already.
+	_ = s.Listener.Close()
 	s.CloseConnections()
 }
--- a/palane/stalled.go
+++ b/palane/stalled.go
@@ -70,3 +70,20 @@
 	l.room.stalled += uint64(closed)
 	return closed
 }
+
+// roomAtOnce is how many connections MakeRoom closes at most of each kind, roomInterval the time between two searches for them.
+const (
+	roomAtOnce   = 64
+	roomInterval = 20 * time.Millisecond
+)
+
+// MakeRoom closes some connections without a request, and some whose clients have stopped in the middle of one, as there is no memory for
+// others. They would hold theirs until their timeouts, and a crowd of them would keep all other clients out.
+func (l *Listener) MakeRoom() {
+	now, last := l.config.Clock.Now().UnixNano(), l.madeRoomAt.Load()
+	if now-last < int64(roomInterval) || !l.madeRoomAt.CompareAndSwap(last, now) {
+		return
+	}
+	l.CloseUnused(roomAtOnce)
+	l.CloseStalled(roomAtOnce)
+}
--- a/papayahead/entry.go
+++ b/papayahead/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -44,11 +45,15 @@
 		refused.Record(paevent.SettingsRefused{Fault: err.Error()})
 		return err
 	}
+	if set.MaxMemory == 0 {
+		set.MaxMemory = int64(min(memoryOfVM(), math.MaxInt64))
+	}
+	onReceived := limitHeap(set.MaxMemory)
 	name := string(set.Name)
 	seed := uint64(clock.Now().UnixNano())
 	random := rand.New(rand.NewPCG(seed, uint64(os.Getpid())))
 	network := &paentry.TCP{LocalAddr: set.DialFrom}
-	transport := &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: maxIdlePlatformConns}
+	transport := &http.Transport{DialContext: network.Dial, MaxIdleConnsPerHost: maxIdlePlatformConns, MaxResponseHeaderBytes: maxStoreHeader}
 	store := &platform.StoreClient{
 		BaseURL: set.Store.String(), Caller: paplatform.Caller(name), Clock: clock, Transport: transport,
 		Random: rand.New(rand.NewPCG(random.Uint64(), random.Uint64())),
@@ -56,7 +61,8 @@
 	d, err := paentry.New(paentry.Config{
 		Settings: set, Version: Version, Incarnation: pamember.Incarnation(clock.Now().UnixMilli()),
 		Clock: clock, Random: random, Network: network,
-		Store: store, VMList: &paplatform.VMListClient{Base: set.Machines.String(), Transport: transport},
+		OnReceived: onReceived,
+		Store:      store, VMList: &paplatform.VMListClient{Base: set.Machines.String(), Transport: transport},
 		Recorder: paevent.NewRecorder(paevent.RecorderConfig{
 			Process: name, Clock: clock, Log: log.Level(set.LogLevel).With().Str("Process", name).Logger(),
 		}),
--- a/papayahead/gate.go
+++ b/papayahead/gate.go
@@ -88,7 +88,7 @@
 		return err
 	}
 	set.Sockets = availableSockets(set.Sockets)
-	limitMemory(&set)
+	onReceived := limitMemory(&set)
 	network := gateNetwork{}
 	storeTraffic := &pasocket.Traffic{}
 	dialStore := func(ctx context.Context, kind, address string) (net.Conn, error) {
@@ -114,7 +114,7 @@
 			Regions: set.Regions,
 		},
 		Network: network, Clock: clock, Uptime: uptime, Random: rand.New(rand.NewPCG(seed, uint64(os.Getpid()))),
-		Recorder: recorder, Version: Version, Off: off, StoreTraffic: storeTraffic,
+		Recorder: recorder, Version: Version, Off: off, StoreTraffic: storeTraffic, OnReceived: onReceived,
 	})
 	g.CountDroppedLines(&dropped)
 	serveMetrics(set, g, clock, recorder)
@@ -172,20 +172,29 @@
 	}()
 }
 
-// limitMemory sets the memory limit of a gate to that of the VM, if its settings have none, and has the runtime keep to it. Garbage
-// collection then runs more often before the limit is reached, and as usual far from it.
-func limitMemory(s *pagate.Settings) {
+// limitMemory sets the memory limit of a gate to that of the VM, if its settings have none, and returns limitHeap of it.
+func limitMemory(s *pagate.Settings) func(received int64) {
 	if s.MemoryMB == 0 {
 		s.MemoryMB = float64(memoryOfVM()) / bytesPerMB
 	}
-	debug.SetMemoryLimit(int64(s.MemoryMB * bytesPerMB * heapPart))
+	return limitHeap(int64(s.MemoryMB * bytesPerMB))
+}
+
+// limitHeap has the runtime keep to the memory limit of the process, in bytes. Garbage collection then runs more often before it is
+// reached, and as usual far from it. The returned function lowers the limit by what the system may hold of connections.
+func limitHeap(limit int64) func(received int64) {
+	if limit <= 0 {
+		return nil
+	}
+	set := func(received int64) { debug.SetMemoryLimit(int64(float64(limit)*heapPart) - received) }
+	set(0)
+	return set
 }
 
 const (
 	bytesPerMB = 1 << 20
-	// heapPart is the part of the memory limit that the runtime may use: the rest is for the program itself, and for what the system
-	// has received on connections.
-	heapPart = 0.7
+	// heapPart is the part of the memory limit that the runtime and the system may use: the rest is for the program itself.
+	heapPart = 0.75
 )
 
 // memoryOfVM returns the memory of the VM in bytes; 0 if the system does not say.
@@ -194,7 +203,7 @@
 	if err := unix.Sysinfo(&info); err != nil {
 		return 0
 	}
-	return uint64(info.Totalram) * uint64(info.Unit)
+	return info.Totalram * uint64(info.Unit)
 }
 
 // gateNetwork opens TCP connections that detect an unresponsive peer.
--- a/paproxy/outcome.go
+++ b/paproxy/outcome.go
@@ -47,6 +47,7 @@
 	ReasonWrongIdentity    Reason = "WrongIdentity"
 	ReasonUnframedAnswer   Reason = "UnframedAnswer"
 	ReasonTruncated        Reason = "Truncated"
+	ReasonNoStatus         Reason = "NoStatus"
 	ReasonPeerLost         Reason = "PeerLost"
 	ReasonPeerProtocol     Reason = "PeerProtocol"
 	ReasonIncarnation      Reason = "OtherIncarnation"
--- a/paproxy/pool.go
+++ b/paproxy/pool.go
@@ -11,8 +11,10 @@
 	"github.com/gravitational/trace"
 	"github.com/jonboulle/clockwork"
 
+	"papayahead/pabuffer"
 	"papayahead/paclock"
 	"papayahead/paevent"
+	"papayahead/pahead"
 )
 
 // Defaults and limits of connections to targets.
@@ -58,6 +60,8 @@
 	// their responses. By default each of their requests gets a new connection, because a late or
 	// surplus response on a reused one would be taken for the response to the next request.
 	TrustResponseOrder bool
+	// Memory is the account from which the heads of responses take; nil is no bound.
+	Memory *pabuffer.Budget
 
 	mutex sync.Mutex
 	pools map[netip.AddrPort]*pool
@@ -105,11 +109,11 @@
 		t.releaseSlot(to.Address)
 		return nil, trace.Wrap(err)
 	}
-	return newTargetConn(raw, to.Address, t.Clock.Now()), nil
+	return newTargetConn(raw, to.Address, t.Clock.Now(), t.Memory), nil
 }
 
-func newTargetConn(raw net.Conn, address netip.AddrPort, now time.Time) *targetConn {
-	wire := &trackedConn{Conn: raw}
+func newTargetConn(raw net.Conn, address netip.AddrPort, now time.Time, memory *pabuffer.Budget) *targetConn {
+	wire := &trackedConn{Conn: raw, head: pahead.Reader{Source: raw, Interim: true}, claim: pabuffer.Claim{Budget: memory}}
 	unused := make(chan net.Conn, 1)
 	unused <- wire
 	transport := &http.Transport{
--- a/paproxy/respond.go
+++ b/paproxy/respond.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"papayahead/palane"
 )
 
 // Refusal is the JSON body of a refusal.
@@ -115,6 +117,33 @@
 	_ = json.NewEncoder(w.writer).Encode(body)
 }
 
+// ReasonNoMemory and ReasonHeadTooLong are why a request was refused before it was read.
+const (
+	ReasonNoMemory    Reason = "NoMemory"
+	ReasonHeadTooLong Reason = "HeadTooLong"
+)
+
+// noMemoryRetryAfter is the delay given to a caller for whose request there is no memory: what others hold comes back within a run.
+const noMemoryRetryAfter = 300 * time.Millisecond
+
+// RefuseUnread returns the response to a caller whose request was refused before it was read. Nothing of it was sent to a target.
+func RefuseUnread(why palane.Refusal) []byte {
+	lines := "Cache-Control: no-store\r\n" + OutcomeHeader + ": " + NotRun.String() + "\r\n"
+	body := Refusal{Outcome: NotRun.String(), Reason: ReasonBadRequest}
+	switch why {
+	case palane.HeadTooLong:
+		body.Reason = ReasonHeadTooLong
+	case palane.NoRoom:
+		body.Reason, body.ComeBack = ReasonNoMemory, noMemoryRetryAfter.Milliseconds()
+		lines += "Retry-After: 1\r\n" + ComeBackHeader + ": " + strconv.FormatInt(body.ComeBack, 10) + "\r\n"
+	}
+	b, err := json.Marshal(body)
+	if err != nil {
+		panic("paproxy: encode a refusal as JSON: " + err.Error())
+	}
+	return why.Response(lines, string(b)+"\n")
+}
+
 // MinRetryAfter is the shortest delay given to a refused caller. Without it the caller could retry
 // at once and add to the load that caused the refusal.
 const MinRetryAfter = 50 * time.Millisecond
--- a/paproxy/send.go
+++ b/paproxy/send.go
@@ -117,6 +117,7 @@
 	s := &targetSend{targets: t, conn: c, cancel: cancel, writesBefore: c.tracked.writesStarted()}
 	r := s.request(sendCtx, x)
 	stop := s.watchSilence(x)
+	c.tracked.head.Await(nil, &c.tracked.claim)
 	httpResp, err := c.transport.RoundTrip(r) //nolint:bodyclose // closed by response.close
 	stop()
 	s.endInterim()
@@ -263,6 +264,7 @@
 // connection may be tried.
 func (s *targetSend) failed(ctx, sendCtx context.Context, x *exchange, err error) (Result, bool) {
 	s.body.stop()
+	defer s.conn.tracked.head.Release()
 	wrote := s.targets.closeUsed(s.conn) > s.writesBefore
 	r := Result{Outcome: NotRun, Reason: ReasonNoConnection, Fault: FaultConnection, NewConnection: !s.conn.reused}
 	if wrote {
@@ -317,6 +319,8 @@
 		})
 	case paheader.HasTwoHeads(httpResp):
 		r.Reason = ReasonTruncated
+	case !paheader.IsStatus(httpResp.StatusCode):
+		r.Reason = ReasonNoStatus
 	case httpResp.StatusCode == http.StatusSwitchingProtocols:
 		r.Reason = ReasonUnframedAnswer
 	case closeDelimited(x.request.Method, httpResp):
@@ -376,6 +380,7 @@
 	defer s.cancel(nil)
 	s.body.stop()
 	httpResp.Body.Close()
+	s.conn.tracked.head.Release()
 	if complete && s.conn.tracked.usable() {
 		s.targets.put(s.conn)
 		return
--- a/paproxy/trackedconn.go
+++ b/paproxy/trackedconn.go
@@ -5,6 +5,9 @@
 	"sync"
 
 	"github.com/gravitational/trace"
+
+	"papayahead/pabuffer"
+	"papayahead/pahead"
 )
 
 // errSealed is returned by writes to a sealed connection.
@@ -18,6 +21,10 @@
 // the count is final: if no write was started, no byte reached the target.
 type trackedConn struct {
 	net.Conn
+	// head checks the heads of responses, and claim is what they hold in memory.
+	head  pahead.Reader
+	claim pabuffer.Claim
+
 	mutex  sync.Mutex
 	sealed bool
 	closed bool
@@ -38,7 +45,7 @@
 
 // Read records the end of the connection, which prevents its reuse.
 func (c *trackedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	n, err := c.head.Read(p)
 	if err != nil {
 		c.mutex.Lock()
 		c.closed = true
--- a/pasetting/entry.go
+++ b/pasetting/entry.go
@@ -38,7 +38,9 @@
 	// flight and bytes in flight.
 	MaxConnections, MaxRequests int
 	MaxBytes                    int64
-	LogLevel                    zerolog.Level
+	// MaxMemory is the memory limit of the process in bytes; 0 is that of the VM.
+	MaxMemory int64
+	LogLevel  zerolog.Level
 }
 
 // Setting describes one setting of a process.
@@ -97,11 +99,28 @@
 			parse: func(e *Entry, v string) error { return parseInt(v, 1, 1_000_000, &e.MaxRequests) }},
 		{Flag: "max-bytes", Usage: "bytes of requests and answers in flight at once", Allowed: "1048576 to 1099511627776", Default: "268435456",
 			parse: func(e *Entry, v string) error { return parseInt(v, 1<<20, 1<<40, &e.MaxBytes) }},
+		{Flag: "max-memory", Usage: "memory of the process in bytes; 0 is that of the VM", Allowed: "0, or 67108864 to 1099511627776", Default: "0",
+			parse: parseMemory},
 		{Flag: "log-level", Usage: "least level of events to log", Allowed: "debug, info, warn or error", Default: "info",
 			parse: func(e *Entry, v string) error { return parseLevel(v, &e.LogLevel) }},
 	}
 }
 
+// minMemory and maxMemory bound the memory limit, in bytes.
+const (
+	minMemory = 64 << 20
+	maxMemory = 1 << 40
+)
+
+// parseMemory parses the memory limit, of which 0 stands for that of the VM.
+func parseMemory(e *Entry, v string) error {
+	if v == "0" {
+		e.MaxMemory = 0
+		return nil
+	}
+	return parseInt(v, minMemory, maxMemory, &e.MaxMemory)
+}
+
 // ParseEntry parses and validates values, keyed by flag name. The error is a SettingErrors that lists
 // every missing or invalid setting.
 func ParseEntry(values map[string]string) (Entry, error) {
--- a/pawire/bound.go
+++ b/pawire/bound.go
@@ -7,22 +7,37 @@
 	"github.com/gravitational/trace"
 
 	"papayahead/pabuffer"
+	"papayahead/pasocket"
 )
 
-// messageConnCost is what a connection between entry VMs costs in memory: its buffers, the stacks of its goroutines, and what the system
-// receives of a message before it is read.
-const messageConnCost = 96 << 10
+const (
+	// messageConnCost is what a connection between entry VMs costs in memory: its buffers and the stacks of its goroutines.
+	messageConnCost = 24 << 10
+	// messageReceived is what the system receives of a message before it is read, receivedDivisor the divisor of the budget's bound that
+	// yields how much that may be on a small VM, and leastReceived how much it is at least.
+	messageReceived = 128 << 10
+	receivedDivisor = 2048
+	leastReceived   = 16 << 10
+)
 
 // errNoRoom closes a connection whose message finds no room.
 var errNoRoom = trace.LimitExceeded("no memory for a message of an entry VM")
 
 // NewBoundListener returns a listener for a drpc server whose messages take from a budget while they arrive: drpc holds a message until its
 // last frame. A connection for whose message there is no room is closed.
-func NewBoundListener(l net.Listener, b *pabuffer.Budget) net.Listener { return &boundListener{l, b} }
+func NewBoundListener(l net.Listener, b *pabuffer.Budget) net.Listener {
+	received := max(leastReceived, b.Limit()/receivedDivisor)
+	if !b.IsBounded() || received >= messageReceived || !pasocket.BoundReceived(l, int(received/2)) {
+		received = messageReceived
+	}
+	return &boundListener{l, b, received}
+}
 
 type boundListener struct {
 	net.Listener
 	budget *pabuffer.Budget
+	// received is what the system receives on a connection before it is read.
+	received int64
 }
 
 // Accept returns the next connection for which there is room.
@@ -33,10 +48,10 @@
 			return nil, err
 		}
 		b := &boundConn{Conn: c, claim: pabuffer.Claim{Budget: l.budget}}
-		if b.claim.Take(pabuffer.Connections, messageConnCost) {
+		if b.claim.Take(pabuffer.Connections, messageConnCost) && b.claim.Take(pabuffer.Received, l.received) {
 			return b, nil
 		}
-		c.Close()
+		_ = b.Close() // Nothing was sent on it.
 	}
 }
 
