--- a/pagate/delta_test.go
+++ b/pagate/delta_test.go
@@ -9,6 +9,7 @@
 
 	"papayahead/pafleet"
 	"papayahead/paroute"
+	"papayahead/pawire"
 )
 
 func largeConfig() *paroute.Config {
@@ -24,7 +25,7 @@
 
 func TestDeltaRoundTrip(t *testing.T) {
 	d := &pafleet.Delta{Revision: 7, Config: largeConfig(), ConfigAt: 7, Left: []pafleet.EntryRemoved{{Name: "e", Revision: 6}}}
-	b, err := encodeGzip(d)
+	b, err := pawire.EncodeGzip(d)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -33,7 +34,7 @@
 		t.Fatal(err)
 	}
 	var got pafleet.Delta
-	if err := decodeGzip(b, &got); err != nil {
+	if err := pawire.DecodeGzip(b, &got); err != nil {
 		t.Fatal(err)
 	}
 	if got.Revision != 7 || len(got.Config.Routes) != 400 || len(got.Left) != 1 {
@@ -42,7 +43,7 @@
 	if len(b) > len(plain)/8 {
 		t.Errorf("%d bytes encoded, %d as plain JSON", len(b), len(plain))
 	}
-	if decodeGzip([]byte("no gzip"), &got) == nil || decodeGzip(nil, &got) == nil {
+	if pawire.DecodeGzip([]byte("no gzip"), &got) == nil || pawire.DecodeGzip(nil, &got) == nil {
 		t.Error("bytes that are no delta were decoded")
 	}
 }
--- a/pagate/gate.go
+++ b/pagate/gate.go
@@ -39,7 +39,7 @@
 	relayConns *paconn.Pool
 	// senderConns are the connections to the senders of targets in this zone.
 	senderConns  *paconn.Pool
-	relayCancels relayCancels
+	relayCancels paconn.Cancels
 	// pathFailed wakes watchPaths. lostPaths are the services whose targets this entry VM fails to reach, lostSince when
 	// it began to relay their requests, for watchPaths alone, and pathFailures how the latest connection failed.
 	pathFailed   chan struct{}
--- a/pagate/operator.go
+++ b/pagate/operator.go
@@ -158,7 +158,7 @@
 	}
 	p.gate.traffic.changes.Add(uint64(len(r.GetState())))
 	state := &pafleet.OperatorState{}
-	if err := decodeGzip(r.GetState(), state); err != nil {
+	if err := pawire.DecodeGzip(r.GetState(), state); err != nil {
 		p.gate.record(paevent.NeighbourUnreadable{Reason: err.Error()})
 		return nil, trace.Wrap(err)
 	}
@@ -171,7 +171,7 @@
 	p.gate.post(ctx, operatorRequest{since: pafleet.Revision(q.GetSince()), reply: replies})
 	select {
 	case state := <-replies:
-		b, err := encodeGzip(state)
+		b, err := pawire.EncodeGzip(state)
 		return &pawire.OperatorReply{State: b}, trace.Wrap(err)
 	case <-ctx.Done():
 		return nil, ctx.Err()
--- a/pagate/peers.go
+++ b/pagate/peers.go
@@ -200,7 +200,7 @@
 	p.mutex.Unlock()
 	if n == maxSyncFailures {
 		p.gate.record(paevent.NeighbourLost{Entry: e.Name, Failures: n})
-		p.gate.relayCancels.cancel(e.Name)
+		p.gate.relayCancels.Cancel(e.Name)
 	}
 }
 
--- a/pagate/relay.go
+++ b/pagate/relay.go
@@ -146,7 +146,7 @@
 	if x.route.Idempotent {
 		// Another relay can take it. Any other request may have run, and its response may still come.
 		var done func()
-		ctx, done = g.relayCancels.add(ctx, p.Name)
+		ctx, done = g.relayCancels.Add(ctx, p.Name)
 		defer done()
 	}
 	a := &attempt{gate: g, x: x, choice: c, relayCall: string(call), startedAt: g.config.Clock.Now()}
--- a/pagate/sync.go
+++ b/pagate/sync.go
@@ -152,7 +152,7 @@
 	if len(r.GetDelta()) > 0 {
 		p.gate.traffic.changes.Add(uint64(len(r.GetDelta())))
 		update.delta = &pafleet.Delta{}
-		if err := decodeGzip(r.GetDelta(), update.delta); err != nil {
+		if err := pawire.DecodeGzip(r.GetDelta(), update.delta); err != nil {
 			p.gate.record(paevent.NeighbourUnreadable{Reason: err.Error()})
 			return
 		}
@@ -207,7 +207,7 @@
 		r.NoHistory, r.Revision = true, 0
 	case t.delta != nil:
 		r.Revision = uint64(t.delta.Revision)
-		r.Delta, err = encodeGzip(t.delta)
+		r.Delta, err = pawire.EncodeGzip(t.delta)
 	}
 	p.gate.meter.deltasSent(kind).Inc()
 	return r, trace.Wrap(err)
--- a/palane/conn.go
+++ b/palane/conn.go
@@ -61,8 +61,9 @@
 	unusedSince time.Time
 	// buffered is the number of response bytes that wait for their turn.
 	buffered int64
-	// lingering closes the connection some time after its last response.
+	// lingering closes the connection some time after its last response; ended says that it is closed and read no more.
 	lingering clockwork.Timer
+	ended     bool
 }
 
 func newConn(l *Listener, raw net.Conn) *conn {
@@ -94,6 +95,7 @@
 	c.raw.Close()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	c.ended = true
 	if c.lingering != nil {
 		c.lingering.Stop() // It holds the connection's buffers; clients that come and go would leave thousands of them.
 	}
@@ -497,7 +499,7 @@
 	c.finished = true
 	c.disconnectLocked()
 	half, ok := c.raw.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
+	if c.ended || !ok || half.CloseWrite() != nil {
 		c.raw.Close()
 		return
 	}
--- a/pagate/delta.go
+++ b/pawire/gzip.go
@@ -1,4 +1,4 @@
-package pagate
+package pawire
 
 import (
 	"bytes"
@@ -13,9 +13,9 @@
 // and a few hundred bytes for each target.
 const maxDecodedBytes = 16 << 20
 
-// encodeGzip encodes what neighbours tell each other of the store as gzipped JSON. A configuration with hundreds of routes
+// EncodeGzip encodes what neighbours tell each other of the store as gzipped JSON. A configuration with hundreds of routes
 // shrinks to a tenth, which matters as links of entry VMs may have only 10 Mbit/s.
-func encodeGzip(v any) ([]byte, error) {
+func EncodeGzip(v any) ([]byte, error) {
 	var out bytes.Buffer
 	z, err := gzip.NewWriterLevel(&out, gzip.BestSpeed)
 	if err != nil {
@@ -30,8 +30,8 @@
 	return out.Bytes(), nil
 }
 
-// decodeGzip decodes the output of encodeGzip.
-func decodeGzip(b []byte, into any) error {
+// DecodeGzip decodes the output of EncodeGzip.
+func DecodeGzip(b []byte, into any) error {
 	z, err := gzip.NewReader(bytes.NewReader(b))
 	if err != nil {
 		return trace.Wrap(err)
