palane: a client whose body waits for the server has not stopped

By reading: what waits for room in a lane counted as awaited from the client, so that beside a crowd the uploads to slow targets would have been closed. TestBodyThatNobodyReadsIsNotStalled fails before.

--- a/palane/lane.go
+++ b/palane/lane.go
@@ -83,6 +83,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for len(l.input) >= maxInput && !l.closed && !c.hasDisconnected {
+		c.arrival.end() // It is the server that has stopped.
 		l.wake.Wait()
 	}
 	if l.closed || c.hasDisconnected {
--- a/palane/memory_test.go
+++ b/palane/memory_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -108,6 +109,28 @@
 	})
 }
 
+// A target that does not read a body must not have its client taken for one that has stopped.
+func TestBodyThatNobodyReadsIsNotStalled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		read := make(chan struct{})
+		s, _ := newMemoryServer(t, 64, func(_ http.ResponseWriter, r *http.Request) {
+			<-read
+			if n, err := io.Copy(io.Discard, r.Body); n != 200<<10 || err != nil {
+				t.Errorf("%d bytes, %v", n, err)
+			}
+		})
+		s.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 204800\r\n\r\n" + strings.Repeat("x", 200<<10))
+		time.Sleep(5 * time.Second)
+		if n := s.CloseStalled(10); n != 0 {
+			t.Errorf("%d connections were closed", n)
+		}
+		close(read)
+		if status, _ := s.readResponse(t); status != http.StatusOK {
+			t.Errorf("status %d", status)
+		}
+	})
+}
+
 // A client sends a byte now and then: it counts as one that has stopped.
 func TestArrivalOfSingleBytesIsNoProgress(t *testing.T) {
 	now := time.Unix(1000, 0)
