--- a/pacrowd/entry_test.go
+++ b/pacrowd/entry_test.go
@@ -184,3 +184,13 @@
 	e := startEntry(t)
 	e.bear(crowd{to: e.at(entryPeersPort), conns: 400, begin: unfinishedMessage(1 << 20)})
 }
+
+func TestEntrySilentConnectionsOfPeers(t *testing.T) {
+	e := startEntry(t)
+	e.bear(crowd{to: e.at(entryPeersPort), conns: 4500})
+}
+
+func TestEntrySilentConnectionsOfCallers(t *testing.T) {
+	e := startEntry(t)
+	e.bear(crowd{to: e.at(callersPort), conns: 4500})
+}
--- a/pacrowd/gate_test.go
+++ b/pacrowd/gate_test.go
@@ -429,6 +429,11 @@
 	g.bear(crowd{to: g.at(peersPort), conns: 400, begin: unfinishedMessage(1 << 20)})
 }
 
+func TestGateSilentConnectionsOfNeighbours(t *testing.T) {
+	g := startGate(t)
+	g.bear(crowd{to: g.at(peersPort), conns: 4500})
+}
+
 // unfinishedMessage returns frames of one message between entry VMs that has no last frame (drpc: control, stream, message, length).
 func unfinishedMessage(size int) []byte {
 	const frame = 1 << 10
--- a/paentry/peers.go
+++ b/paentry/peers.go
@@ -14,6 +14,7 @@
 	"papayahead/paclock"
 	"papayahead/pacontrol"
 	"papayahead/pamember"
+	"papayahead/paport"
 	"papayahead/paproxy"
 	"papayahead/paspread"
 	"papayahead/pawire"
@@ -32,6 +33,8 @@
 	// a few dozen peers.
 	connectionsPerPeer   = 2
 	totalPeerConnections = 128
+	// peerConnsDivisor is the divisor of the connections of callers that yields those of other daemons.
+	peerConnsDivisor = 2
 	// peerIdleTimeout is the time after which an unused control connection is closed.
 	peerIdleTimeout = time.Minute
 )
@@ -168,8 +171,9 @@
 		}
 	}
 	server := paproxy.PeerServer{Handler: mux}
+	peers := &paport.Cap{Listener: d.listeners.peers, Clock: d.config.Clock, Max: d.config.Settings.MaxConnections / peerConnsDivisor, FirstByte: peerIdleTimeout}
 	// Serve returns only once ctx is cancelled, which closes the listener: that fails at nothing else.
-	_ = server.Serve(ctx, pawire.NewBoundListener(d.listeners.peers, &d.memory))
+	_ = server.Serve(ctx, pawire.NewBoundListener(peers, &d.memory))
 }
 
 // peerServer implements the DRPC services that peers calls on other daemons.
--- a/pagate/peerserver.go
+++ b/pagate/peerserver.go
@@ -9,6 +9,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"papayahead/paport"
 	"papayahead/pawire"
 )
 
@@ -18,7 +19,8 @@
 	if err := trace.NewAggregate(pawire.DRPCRegisterSyncing(mux, g.peers), pawire.DRPCRegisterLimiting(mux, g.limiter)); err != nil {
 		panic("pagate: register the calls of entry VMs: " + err.Error())
 	}
-	split := drpcmigrate.NewListenMux(l, len(relayPrefix))
+	split := drpcmigrate.NewListenMux(
+		&paport.Cap{Listener: l, Clock: g.config.Clock, Max: g.ports.shares.Peers, FirstByte: headerTimeout}, len(relayPrefix))
 	relays := g.relayServer(split.Route(relayPrefix))
 	g.serve(func() error {
 		defer context.AfterFunc(ctx, relays.Close)()
--- a/paport/share.go
+++ b/paport/share.go
@@ -9,6 +9,9 @@
 	Clients, Refusing int
 	// LookUps and Readiness are connections to the ports for look-ups and readiness checks.
 	LookUps, Readiness int
+	// Peers are connections of other entry VMs: their calls, and the requests that they relay. They are part of what is left, and of that
+	// for clients, as what is relayed here comes from no client here.
+	Peers int
 	// Targets are connections to targets and to relays.
 	Targets int
 }
@@ -21,6 +24,7 @@
 	refusingPart  = 0.0625
 	lookUpsPart   = 0.0625
 	readinessPart = 0.015625
+	peersPart     = 0.25
 )
 
 // Divide returns the shares of a number of sockets. If it is unknown, 0, there are no bounds.
@@ -31,6 +35,6 @@
 	share := func(part float64) int { return max(1, int(part*float64(sockets))) }
 	return Shares{
 		Clients: share(clientsPart), Refusing: share(refusingPart), LookUps: share(lookUpsPart),
-		Readiness: share(readinessPart), Targets: share(targetsPart),
+		Readiness: share(readinessPart), Targets: share(targetsPart), Peers: share(peersPart),
 	}
 }
