pagate, palane: a caller of HTTP/1.0 gets a reset where a long answer without a length is cut

Cause: an aborted response closes the connection in order. Evidence: platform, 'resets the connection of a caller of HTTP/1.0 whose answer is cut' fails before: 409,736 bytes look whole. Why this works: the connection is reset, which no reader takes for an end. Answers to HTTP/1.1 have chunks, and are aborted as before.

--- a/pagate/answer.go
+++ b/pagate/answer.go
@@ -152,6 +152,9 @@
 	}
 	if err != nil && p.rest != nil {
 		g.recordEnd(x, p.status, reasonAnswerCut)
+		if x.unframed {
+			x.lane.Reset()
+		}
 		panic(http.ErrAbortHandler)
 	}
 	g.recordEnd(x, p.status, "")
--- a/pagate/front.go
+++ b/pagate/front.go
@@ -44,6 +44,8 @@
 	unbuffered io.Reader
 	// sending is the sending of the body by the latest attempt, if it goes on while the response is read.
 	sending *bodySending
+	// unframed says that its client, of HTTP/1.0, knows no chunks: the end of a response without a length is that of the connection.
+	unframed bool
 	// unread says that the request is refused without its body being read.
 	unread bool
 	// cutsBody says that the response closes the client's connection before the body is read to its end.
@@ -161,7 +163,8 @@
 func (g *Gate) newExchange(r *http.Request) *exchange {
 	x := &exchange{
 		id: r.Header.Get(g.config.Headers.RequestID), method: r.Method, uri: r.RequestURI, host: r.Host,
-		header: paheader.EndToEnd(r.Header), size: r.ContentLength, arrived: g.config.Clock.Now(),
+		unframed: !r.ProtoAtLeast(1, 1),
+		header:   paheader.EndToEnd(r.Header), size: r.ContentLength, arrived: g.config.Clock.Now(),
 		clientCtx: r.Context(), lane: palane.FromContext(r.Context()), hold: pabuffer.Hold{Budget: &g.memory.budget},
 		heads: pabuffer.Claim{Budget: &g.memory.budget},
 	}
--- a/palane/lane.go
+++ b/palane/lane.go
@@ -169,6 +169,17 @@
 	l.conn.raw.Close()
 }
 
+// Reset is Abort for a response whose end is that of the connection: the client gets a reset, and must not take what it has for the whole.
+func (l *Lane) Reset() {
+	if l == nil {
+		return
+	}
+	if c, ok := l.conn.raw.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0) // It fails only for a connection that is closed.
+	}
+	l.Abort()
+}
+
 // CloseWrite closes the lane. The connection itself keeps reading for lingerTimeout.
 func (l *Lane) CloseWrite() error { return l.Close() }
 
