--- a/palane/conn.go
+++ b/palane/conn.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -141,33 +140,6 @@
 	return !b.last && !c.refused && (b.certain || c.waitUntil(func() bool { return lane.state != active }))
 }
 
-// reject rejects the request that arrives, by why it was not read. Nothing more is read after it.
-func (c *conn) reject(why error) {
-	switch {
-	case errors.Is(why, ErrConnectionEnded):
-	case errors.Is(why, errHeadTooLong):
-		c.refuse(HeadTooLong)
-	case errors.Is(why, errNoRoom):
-		c.refuse(NoRoom)
-	case c.recorder.failed:
-		c.refuse(Incomplete)
-	case why == nil:
-		c.forwardMalformed([]byte(invalidRequest))
-	default:
-		c.forwardMalformed(c.recorder.recorded)
-	}
-}
-
-// forwardMalformed passes what is no request to the server, which rejects it and closes the connection.
-func (c *conn) forwardMalformed(input []byte) {
-	lane, err := c.assignLane(true)
-	if err != nil {
-		c.refuse(NoRoom)
-		return
-	}
-	lane.feed(input)
-}
-
 // awaitRequest waits for the first byte of a request and reports whether the request may be read.
 func (c *conn) awaitRequest() bool {
 	c.mutex.Lock()
@@ -199,58 +171,6 @@
 	}
 }
 
-// headerReaders pools the header parser's buffers, which a connection needs only while a header arrives.
-var headerReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBufferSize) }}
-
-// readHead reads a request's head, whose bytes are then in the recorder, within the header timeout. It takes what the head costs while it
-// arrives, and fails once that finds no room, or the head is too long or none.
-func (c *conn) readHead() error {
-	c.recorder.begin()
-	limit := c.listener.maxHead()
-	timed := false
-	defer func() {
-		c.arrival.end()
-		if timed {
-			c.setReadDeadline(time.Time{})
-		}
-	}()
-	for {
-		if d := c.headerTimeout(); c.reader.Buffered() == 0 && !timed {
-			timed = true
-			c.arrival.begin(c.listener.config.Clock.Now())
-			if d > 0 {
-				c.setReadDeadline(c.listener.config.Clock.Now().Add(d))
-			}
-		}
-		n, done, err := c.recorder.scan()
-		switch {
-		case err != nil:
-			return err
-		case c.recorder.scanner.Bytes > limit+lineEnd:
-			return errHeadTooLong
-		case !c.claim.GrowTo(pabuffer.Heads, c.recorder.scanner.Cost()):
-			c.listener.lacksMemory()
-			return errNoRoom
-		case done:
-			return c.recorder.scanner.Fault
-		}
-		c.arrival.progress(n, c.listener.config.Clock.Now)
-	}
-}
-
-// lineEnd is the length of the empty line at the end of a head, which does not count toward its limit.
-const lineEnd = 2
-
-func (c *conn) headerTimeout() time.Duration {
-	if c.refused {
-		return refusedTimeout
-	}
-	if c.listener.config.HeaderTimeout == nil {
-		return 0
-	}
-	return c.listener.config.HeaderTimeout()
-}
-
 // setReadDeadline sets the read deadline of the client connection. That fails only if the connection is closed, which
 // the next read reports.
 func (c *conn) setReadDeadline(t time.Time) {
@@ -259,81 +179,6 @@
 	}
 }
 
-// assignLane returns a lane for the next request. It waits while MaxPipelined requests are in flight, or as many as there is room for. last
-// says that the request is the last one. It fails with errNoRoom, or with ErrConnectionEnded if no more requests are accepted.
-func (c *conn) assignLane(last bool) (*Lane, error) {
-	lane, err := c.acquireLane()
-	if err != nil {
-		return nil, err
-	}
-	if !c.startLane(lane, last || c.refused) {
-		return nil, ErrConnectionEnded
-	}
-	return lane, nil
-}
-
-// acquireLane returns an idle lane or a new one.
-func (c *conn) acquireLane() (*Lane, error) {
-	if !c.waitUntil(func() bool { return len(c.inFlight) < c.listener.maxPipelined() }) {
-		return nil, ErrConnectionEnded
-	}
-	if lane := c.popIdleLane(); lane != nil {
-		return lane, nil
-	}
-	memory := c.listener.config.Memory
-	if !memory.Take(pabuffer.Connections, laneCost) {
-		c.listener.lacksMemory()
-		// One of the requests in flight leaves a lane that serves this one too.
-		if !c.waitUntil(func() bool { return len(c.idleLanes) > 0 || len(c.inFlight) == 0 }) {
-			return nil, ErrConnectionEnded
-		}
-		if lane := c.popIdleLane(); lane != nil {
-			return lane, nil
-		}
-		if !memory.Take(pabuffer.Connections, laneCost) {
-			return nil, errNoRoom
-		}
-	}
-	lane := newLane(c)
-	select {
-	case c.listener.lanes <- lane:
-		return lane, nil
-	case <-c.listener.ctx.Done():
-		memory.PutBack(pabuffer.Connections, laneCost)
-		return nil, ErrConnectionEnded
-	}
-}
-
-// startLane gives a lane the next request, and what that has taken of the memory. It reports whether requests are still accepted.
-func (c *conn) startLane(lane *Lane, last bool) bool {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	if c.stopped || lane.closed {
-		lane.retire()
-		return false
-	}
-	c.stopped = last
-	lane.start()
-	lane.claim.Move(&c.claim)
-	c.inFlight = append(c.inFlight, lane)
-	if len(c.inFlight) == 1 {
-		close(lane.turn)
-	}
-	return true
-}
-
-func (c *conn) popIdleLane() *Lane {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	n := len(c.idleLanes)
-	if n == 0 {
-		return nil
-	}
-	lane := c.idleLanes[n-1]
-	c.idleLanes = c.idleLanes[:n-1]
-	return lane
-}
-
 // waitUntil waits until ready, which is called with the mutex held, returns true, and reports whether the connection
 // still accepts requests. It keeps reading into the connection's buffer to detect a client that disconnects meanwhile.
 func (c *conn) waitUntil(ready func() bool) bool {
@@ -376,86 +221,6 @@
 	}
 }
 
-// body is what is needed of a parsed request to pass its body on, and to read what follows.
-type body struct {
-	// length is -1 for a body in chunks, which chunks reads.
-	length int64
-	chunks io.Reader
-	// last says that the connection is closed after the request, certain that the server finds the same end of it.
-	last, certain bool
-}
-
-func bodyOf(r *http.Request) body {
-	b := body{length: r.ContentLength, last: r.Close, certain: boundaryCertain(r)}
-	if b.length < 0 {
-		b.chunks = r.Body
-	}
-	return b
-}
-
-// claimBody takes what is held of a request's body on its way to the server, and reports whether there was room.
-func (c *conn) claimBody(r *http.Request) bool {
-	n := min(r.ContentLength, maxInput) + min(r.ContentLength, bodyBuffer)
-	if n <= bodyBuffer {
-		return true // It is in what the connection and the lane have taken.
-	}
-	return c.claim.Take(pabuffer.Bodies, n)
-}
-
-// bodyBuffers pools the buffers in which bodies are read.
-var bodyBuffers = sync.Pool{New: func() any { return new([bodyBuffer]byte) }}
-
-// forwardBody passes a request's body to its lane as it arrives, and reports whether it was passed on completely.
-func (c *conn) forwardBody(lane *Lane, b body) bool {
-	defer c.arrival.end()
-	if b.length > 0 {
-		return c.forwardBytes(lane, b.length)
-	}
-	if b.length == 0 {
-		return true
-	}
-	var p [readBufferSize]byte
-	for read := 0; ; {
-		c.awaitBody()
-		c.recorder.reset()
-		_, err := b.chunks.Read(p[:])
-		read += len(c.recorder.recorded)
-		c.widen(lane, read)
-		c.arrival.progress(len(c.recorder.recorded), c.listener.config.Clock.Now)
-		if !lane.feed(c.recorder.recorded) {
-			return false
-		}
-		if err != nil {
-			return errors.Is(err, io.EOF)
-		}
-	}
-}
-
-// forwardBytes passes a body of a length on.
-func (c *conn) forwardBytes(lane *Lane, left int64) bool {
-	buffer := bodyBuffers.Get().(*[bodyBuffer]byte)
-	defer bodyBuffers.Put(buffer)
-	for read := 0; left > 0; {
-		c.awaitBody()
-		n, err := c.reader.Read(buffer[:min(left, bodyBuffer)])
-		read += n
-		c.widen(lane, read)
-		c.arrival.progress(n, c.listener.config.Clock.Now)
-		left -= int64(n)
-		if !lane.feed(buffer[:n]) || err != nil {
-			return false
-		}
-	}
-	return true
-}
-
-// awaitBody notes that more of a body is awaited from the client.
-func (c *conn) awaitBody() {
-	if c.reader.Buffered() == 0 {
-		c.arrival.begin(c.listener.config.Clock.Now())
-	}
-}
-
 // stop accepts no more requests. The connection is closed after the last response.
 func (c *conn) stop() {
 	c.mutex.Lock()
--- a/pasocket/ended.go
+++ b/pasocket/ended.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"syscall"
 
 	"golang.org/x/sys/unix"
 )
@@ -12,18 +11,9 @@
 
 // PeerHasEnded reports whether the peer of a connection has ended it in order, as far as the system says so.
 func PeerHasEnded(c net.Conn) bool {
-	s, ok := c.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
 	ended := false
-	err = raw.Control(func(fd uintptr) {
-		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+	return control(c, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
 		ended = err == nil && info.State == tcpCloseWait
-	})
-	return err == nil && ended
+	}) && ended
 }
--- a/pasocket/pending.go
+++ b/pasocket/pending.go
@@ -9,19 +9,13 @@
 // called during a blocked read. It returns true for a connection without a file descriptor, and false if the socket
 // can't be read.
 func NothingToRead(c net.Conn) bool {
-	s, ok := c.(syscall.Conn)
-	if !ok {
+	if _, ok := c.(syscall.Conn); !ok {
 		return true
 	}
-	raw, err := s.SyscallConn()
-	if err != nil {
-		return false
-	}
 	empty := false
 	var b [1]byte
-	err = raw.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	return control(c, func(fd int) {
+		_, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		empty = err == syscall.EAGAIN
-	})
-	return err == nil && empty
+	}) && empty
 }
