--- a/paentry/metrics.go
+++ b/paentry/metrics.go
@@ -73,6 +73,8 @@
 	vm.WriteGaugeUint64(w, "papayahead_stopping", boolGauge(s.Stopping))
 	vm.WriteGaugeUint64(w, "papayahead_watches_store", boolGauge(s.Watches))
 	vm.WriteGaugeFloat64(w, "papayahead_room_use", s.RoomUse)
+	vm.WriteGaugeUint64(w, "papayahead_memory_held_bytes", uint64(max(0, d.memory.Held())))
+	vm.WriteCounterUint64(w, "papayahead_memory_refusals_total", d.memory.Refused())
 	if s.View == nil {
 		return
 	}
