pabuffer: the first 32 KB of a head's cost are found while there is any room, however the head arrives

By reading: a head that arrives at once took all of its cost from the part for heads, and an ordinary one of twenty lines costs over 16 KB: beside a crowd that has used up that part, callers with such heads would all have been refused. TestOrdinaryClaimsFindRoomBesideLongOnes fails before.

--- a/pabuffer/claim.go
+++ b/pabuffer/claim.go
@@ -15,9 +15,9 @@
 	return true
 }
 
-// firstBytes is how many bytes a head or a body takes as Connections, before it takes from the part of its kind: an ordinary client finds
-// room while that part is used up.
-const firstBytes = 16 << 10
+// firstBytes is how many bytes a Claim takes as Connections, before it takes from another part: an ordinary request, whose head of some
+// thirty lines costs as much, finds room while that part is used up.
+const firstBytes = 32 << 10
 
 // step is by how much a Claim grows at least.
 const step = 4 << 10
@@ -29,10 +29,13 @@
 		return true
 	}
 	missing = max(missing, step)
-	if c.taken[p] == 0 && c.taken[Connections]+missing <= firstBytes {
-		return c.Take(Connections, missing)
+	if first := min(missing, firstBytes-c.taken[Connections]); first > 0 {
+		if !c.Take(Connections, first) {
+			return false
+		}
+		missing -= first
 	}
-	return c.Take(p, missing)
+	return missing == 0 || c.Take(p, missing)
 }
 
 // Move moves all that another Claim has taken to this one.
