palane, pagate: a server whose base listener has ended ends, and the relays' connections are closed with the process

Cause: the port for relays ends by its multiplexer or by its context, whichever comes first, and in the first case nothing closed its server. TestRunEndsWithTheBaseListener makes that order certain, and fails before.

--- a/pagate/peerserver.go
+++ b/pagate/peerserver.go
@@ -23,6 +23,7 @@
 		&paport.Cap{Listener: l, Clock: g.config.Clock, Max: g.ports.shares.Peers, FirstByte: headerTimeout}, len(relayPrefix))
 	relays := g.relayServer(split.Route(relayPrefix))
 	g.serve(func() error {
+		defer relays.Close()
 		defer context.AfterFunc(ctx, relays.Close)()
 		return relays.Run()
 	})
--- a/palane/memory_test.go
+++ b/palane/memory_test.go
@@ -233,3 +233,19 @@
 		}
 	})
 }
+
+// Guards against a server whose base listener has ended, and that goes on to wait for lanes: its goroutine would never end.
+func TestRunEndsWithTheBaseListener(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		base := newPipeListener()
+		server := NewServer(Config{Base: base, Clock: clockwork.NewRealClock()}, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		ended := make(chan error)
+		go func() { ended <- server.Run() }()
+		synctest.Wait()
+		if err := base.Close(); err != nil {
+			t.Error(err)
+		}
+		checkStopped(t, <-ended)
+		synctest.Wait()
+	})
+}
--- a/palane/server.go
+++ b/palane/server.go
@@ -16,12 +16,16 @@
 	return &Server{l, &http.Server{Handler: h, MaxHeaderBytes: l.config.MaxHeaderBytes, ConnState: l.TrackState, ConnContext: WithLane}}
 }
 
-// Run serves until Close is called, or the base listener ends.
+// Run serves until Close is called, or the base listener ends. Connections that are open then are served on until Close.
 func (s *Server) Run() error {
 	ended := make(chan error, 2)
 	go func() { ended <- s.Listener.Run() }()
 	go func() { ended <- s.HTTP.Serve(s.Listener) }()
-	return <-ended
+	err := <-ended
+	// The error does not matter: the base listener may be closed already.
+	_ = s.Listener.Close()
+	<-ended
+	return err
 }
 
 // Close ends the server and closes all connections.
