--- a/palane/server.go
+++ b/palane/server.go
@@ -22,9 +22,9 @@
 	go func() { ended <- s.Listener.Run() }()
 	go func() { ended <- s.HTTP.Serve(s.Listener) }()
 	err := <-ended
-	// The error does not matter: the base listener may be closed already.
+	// These errors do not matter: the base listener may be closed already, and the other one ends for that.
 	_ = s.Listener.Close()
-	<-ended
+	_ = <-ended
 	return err
 }
 
