--- a/palane/server.go
+++ b/palane/server.go
@@ -1,6 +1,7 @@
 package palane
 
 import (
+	"cmp"
 	"net/http"
 )
 
@@ -21,11 +22,10 @@
 	ended := make(chan error, 2)
 	go func() { ended <- s.Listener.Run() }()
 	go func() { ended <- s.HTTP.Serve(s.Listener) }()
-	err := <-ended
-	// These errors do not matter: the base listener may be closed already, and the other one ends for that.
-	_ = s.Listener.Close()
-	_ = <-ended
-	return err
+	first := <-ended
+	// The other one ends as the listener is closed, if it is not yet.
+	closing := s.Listener.Close()
+	return cmp.Or(first, <-ended, closing)
 }
 
 // Close ends the server and closes all connections.
